--- /dev/null
+++ b/src/main/java/mulleinlever/drill/Drill.java
@@ -0,0 +1,228 @@
+package mulleinlever.drill;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import mulleinlever.Ending;
+import mulleinlever.LoadReport;
+import mulleinlever.News;
+import mulleinlever.PodEntry;
+import mulleinlever.Policy;
+import mulleinlever.Req;
+import mulleinlever.Tally;
+
+/** The bench's wire: what is read becomes calls on the sidecars' policies, their answers become messages. */
+public final class Drill {
+    private static final News.Phase[] PHASES = News.Phase.values();
+
+    private final BufferedReader in;
+    private final PrintStream out;
+    private final StringBuilder reply = new StringBuilder();
+    private final Map<String, Policy> running = new HashMap<>();
+    private final Map<Long, List<PodEntry>> lists = new HashMap<>();
+    private long lineNo;
+    private long now;
+    private String speaker;
+    private String about;
+
+    public Drill(InputStream in, PrintStream out) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+    }
+
+    /** Serves batches until the input ends between two of them. */
+    public void run() throws IOException {
+        for (Line l = next(); l != null; l = next()) {
+            if (l.message.isEmpty()) {
+                continue;
+            }
+            if (!l.message.equals("TICK")) {
+                throw new BadInput(l.no, "expected TICK, found " + l.message);
+            }
+            now = l.whole("timeNs");
+            String frame = l.text("frame");
+            about = null;
+            speaker = null;
+            reply.setLength(0);
+            for (l = inBatch(); !l.message.equals("END"); l = inBatch()) {
+                event(l);
+            }
+            reply.append("EOR\tframe=").append(frame).append('\n');
+            out.write(reply.toString().getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+    }
+
+    /** The answers of one sidecar go under its name. */
+    StringBuilder speak(String sidecar) {
+        if (!sidecar.equals(speaker)) {
+            reply.append("AT\tsidecarId=").append(sidecar).append('\n');
+            speaker = sidecar;
+        }
+        return reply;
+    }
+
+    private Line next() throws IOException {
+        String text = in.readLine();
+        lineNo++;
+        return text == null ? null : new Line(lineNo, text);
+    }
+
+    private Line inBatch() throws IOException {
+        Line l = next();
+        if (l == null) {
+            throw new BadInput(lineNo, "expected END, found the end of the input");
+        }
+        return l;
+    }
+
+    private void event(Line l) throws IOException {
+        switch (l.message) {
+            case "ABOUT" -> about = l.text("sidecarId");
+            case "DEFINE_LIST" -> define(l);
+            case "POWER_ON", "BACKENDS_CHANGED", "NEW_REQUEST", "ECHO", "HEAD_RECEIVED", "PEER_DATA", "PROMOTION",
+                    "CLIENT_GONE", "PLATFORM_SAW", "ELAPSED", "DETACH", "DISPUTED", "REPORT_BACK" -> {
+                if (about == null) {
+                    throw l.bad("needs an ABOUT line before it");
+                }
+                decide(l);
+            }
+            default -> throw new BadInput(l.no, "no such message: " + l.message);
+        }
+    }
+
+    private void decide(Line l) {
+        try {
+            if (l.message.equals("POWER_ON")) {
+                running.put(about, new Policy(SettingsLine.read(l), l.whole("prng"), now, new WireHost(this, about)));
+                return;
+            }
+            Policy policy = running.get(about);
+            if (policy == null) {
+                throw l.bad("needs a sidecar that was started: " + about);
+            }
+            call(policy, l);
+        } catch (BadInput e) {
+            throw e;
+        } catch (RuntimeException e) {
+            StackTraceElement[] at = e.getStackTrace();
+            speak(about).append("BROKEN\tnoteText=").append(WireHost.oneLine(e + (at.length > 0 ? " at " + at[0] : "")))
+                    .append('\n');
+        }
+    }
+
+    private void call(Policy policy, Line l) {
+        switch (l.message) {
+            case "BACKENDS_CHANGED" -> list(policy, l);
+            case "NEW_REQUEST" -> policy.req(now, new Req(l.text("ticket"), l.text("cls"), l.flag("repeat", false),
+                    l.flag("isWrite", false), l.whole("expiresInNs"), l.whole("workNs", 0), l.whole("item", -1),
+                    tenant(l)));
+            case "ECHO" -> policy.probed(now, l.text("pod"), ending(l), l.whole("rttNs", 0), report(l));
+            case "HEAD_RECEIVED" -> policy.streamBegan(now, l.text("ticket"), l.count("sendNo"), l.text("pod"));
+            case "PEER_DATA" -> l.whole("srcPeer");
+            case "PROMOTION" -> news(policy, l);
+            case "CLIENT_GONE" -> policy.clientGone(now, l.text("ticket"));
+            case "PLATFORM_SAW" -> policy.tally(now, new Tally(l.count("buildNo"), l.text("cls"), l.count("n"),
+                    l.count("failed"), l.whole("rttNs", 0), l.whole("ageNs", 0)));
+            case "ELAPSED" -> policy.timer(now, l.text("nonce"));
+            case "DETACH" -> running.remove(about);
+            case "DISPUTED" -> policy.flagged(now, l.text("pod"), l.text("cls"), l.whole("ageNs", 0));
+            default -> policy.tryEnded(now, l.text("ticket"), l.count("sendNo"), l.text("pod"), ending(l),
+                    l.whole("rttNs", 0), l.flag("complete", false), report(l));
+        }
+    }
+
+    private void define(Line head) throws IOException {
+        int n = head.count("members");
+        List<PodEntry> entries = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            Line l = inBatch();
+            if (!l.message.equals("M")) {
+                throw new BadInput(l.no, "expected entry " + (i + 1) + " of " + n + ", found " + l.message);
+            }
+            entries.add(new PodEntry(l.text("pod"), l.text("locality", ""), l.text("model", ""),
+                    (int) l.whole("stripe", 0), (int) l.number("edition", 0), l.word("state", PodEntry.State.class),
+                    l.number("capacityHint", 1), l.whole("readyAtNs", 0)));
+        }
+        lists.put(head.whole("ref"), entries);
+    }
+
+    private void list(Policy policy, Line l) {
+        String how = l.text("how");
+        if (how.equals("failed")) {
+            policy.listFailed(now);
+            return;
+        }
+        List<PodEntry> entries = lists.get(l.whole("ref"));
+        if (entries == null) {
+            throw l.bad("needs a list that was defined: " + l.text("ref"));
+        }
+        switch (how) {
+            case "delta" -> policy.listChanged(now, entries);
+            case "full" -> policy.listWhole(now, entries);
+            case "cached" -> policy.listRemembered(now, entries);
+            default -> throw l.bad("needs delta, full, cached or failed in how");
+        }
+    }
+
+    private void news(Policy policy, Line l) {
+        News.Answer answer = News.Answer.NEWS;
+        News.Answer ending = l.has("ending") ? l.word("ending", News.Answer.class) : News.Answer.OK;
+        if (l.whole("how", 0) == 1) {
+            answer = ending;
+        }
+        News news = null;
+        if (ending == News.Answer.OK) {
+            int phase = l.count("whereAt");
+            if (phase < 0 || phase >= PHASES.length) {
+                throw l.bad("needs 0 to 3 in whereAt");
+            }
+            news = new News(l.count("buildNo"), l.count("step"), PHASES[phase], l.number("exposure", 0),
+                    l.whole("ageNs", 0));
+        }
+        policy.news(now, answer, news);
+    }
+
+    private static Ending ending(Line l) {
+        return l.word("ending", Ending.class);
+    }
+
+    private static String tenant(Line l) {
+        String name = l.text("owner", "0");
+        return name.equals("0") ? null : name;
+    }
+
+    private static LoadReport report(Line l) {
+        String pairs = l.text("serverStats", "");
+        if (pairs.isEmpty()) {
+            return null;
+        }
+        double[] v = {Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN};
+        for (String pair : pairs.split(",")) {
+            int colon = pair.indexOf(':');
+            if (colon < 0) {
+                throw l.bad("needs name:value pairs in serverStats");
+            }
+            int at = switch (pair.substring(0, colon)) {
+                case "concurrent" -> 0;
+                case "depth" -> 1;
+                case "load_share" -> 2;
+                case "mean_ms" -> 3;
+                case "tps" -> 4;
+                case "err_ps" -> 5;
+                default -> -1;
+            };
+            if (at >= 0) {
+                v[at] = l.parseNumber("serverStats", pair.substring(colon + 1));
+            }
+        }
+        return new LoadReport(v[0], v[1], v[2], v[3], v[4], v[5]);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/drill/WireHost.java
@@ -0,0 +1,75 @@
+package mulleinlever.drill;
+
+import mulleinlever.Host;
+import mulleinlever.Verdict;
+
+/** One sidecar's answers, as messages of the wire. */
+final class WireHost implements Host {
+    private final Drill drill;
+    private final String sidecar;
+
+    WireHost(Drill drill, String sidecar) {
+        this.drill = drill;
+        this.sidecar = sidecar;
+    }
+
+    @Override
+    public void relay(String rq, String pod, long limitNs) {
+        say().append("RELAY\tticket=").append(rq).append("\tpod=").append(pod).append("\tlimitNs=").append(limitNs)
+                .append('\n');
+    }
+
+    @Override
+    public void shed(String rq, long backoffNs) {
+        say().append("SHED\tticket=").append(rq).append("\tbackoffNs=").append(backoffNs).append('\n');
+    }
+
+    @Override
+    public void error(String rq) {
+        say().append("LOSE\tticket=").append(rq).append('\n');
+    }
+
+    @Override
+    public void cancel(String rq, int tryNo) {
+        say().append("REVOKE\tticket=").append(rq).append("\tsendNo=").append(tryNo).append('\n');
+    }
+
+    @Override
+    public void probe(String pod) {
+        say().append("POLL\tpod=").append(pod).append('\n');
+    }
+
+    @Override
+    public void vote(int build, int stage, Verdict verdict) {
+        say().append("SAY_SO\tbuildNo=").append(build).append("\tstep=").append(stage).append("\thow=")
+                .append(verdict.ordinal()).append('\n');
+    }
+
+    @Override
+    public void watchList() {
+        say().append("KEEP_INFORMED\ton=1\n");
+    }
+
+    @Override
+    public void fetchList() {
+        say().append("GET_LIST\n");
+    }
+
+    @Override
+    public void timer(long atNs, String token) {
+        say().append("NOTIFY_ME\tatNs=").append(atNs).append("\tnonce=").append(token).append('\n');
+    }
+
+    @Override
+    public void log(String line) {
+        say().append("PRINT\tnoteText=").append(oneLine(line)).append('\n');
+    }
+
+    static String oneLine(String text) {
+        return text.replaceAll("[\\t\\r\\n]+", " ");
+    }
+
+    private StringBuilder say() {
+        return drill.speak(sidecar);
+    }
+}
--- /dev/null
+++ b/src/test/java/mulleinlever/DetectorTest.java
@@ -0,0 +1,36 @@
+package mulleinlever;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+class DetectorTest {
+    @Test
+    void longTermPairFollowsThePagesFormula() {
+        var d = new Policy.Detector();
+        d.learn(0.1);
+        assertEquals(0.1, d.mean, 1e-12);
+        assertEquals(0, d.deviation, 1e-12);
+        d.learn(0.3);
+        assertEquals(0.2, d.mean, 1e-12);
+        assertEquals(Math.sqrt(0.5 * 0.1 * 0.1), d.deviation, 1e-12);
+    }
+
+    @Test
+    void thresholdsStandAtTheirDeviations() {
+        var d = new Policy.Detector();
+        d.learn(0.0);
+        // With the floor of 0.02: suspect above 0.05, alarm above 0.09, clear below 0.01.
+        d.judge(0.12, 10_000);
+        assertEquals(Policy.State.SUSPECT, d.state);
+        d.judge(0.16, 10_000);
+        assertEquals(0.11, d.recent, 1e-12);
+        assertEquals(Policy.State.ALARM, d.state);
+        d.judge(0.0, 10_000);
+        d.judge(0.0, 10_000);
+        assertEquals(Policy.State.ALARM, d.state);
+        d.judge(0.0, 10_000);
+        d.judge(0.0, 10_000);
+        assertEquals(Policy.State.NORMAL, d.state);
+    }
+}
