Silent pods instead of short time-outs; key binding ends with its build

Now a try may run until its req is due unless its pod owes answers and gives none; then it is called back and goes elsewhere.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -47,15 +47,16 @@
     private static final long MEASURE_HALF_LIFE = 5 * SECOND;
     private static final long SICK_FOR = 500 * MS;
     private static final long SICK_FOR_MOST = 8 * SECOND;
-    /** Patience with a try, in mean times of its route and in shares of its latency objective. */
-    private static final double PATIENCE_MEANS = 3.5;
-    private static final double PATIENCE_OBJECTIVE = 0.5;
     /** Answers are wanted at this share of their latency objective; more tries are held at the pods below it. */
     private static final double AT_EASE = 0.45;
     private static final double SLOTS_FIRST = 8;
     private static final double SLOTS_MOST = 32;
     /** A far pod must be this much less loaded: tries that cross zones cost. */
     private static final double FAR_LOAD = 1.5;
+    private static final double ONE_WAY_PART = 0.7;
+    /** A pod that answered nothing for this many mean times of its dearest route, while it owes, is silent. */
+    private static final double SILENCE_MEANS = 4;
+    private static final long RESCUE_TICK = 100 * MS;
     private static final long LINE_TICK = 25 * MS;
 
     enum State { NORMAL, SUSPECT, ALARM }
@@ -83,6 +84,7 @@
         final String id;
         PodEntry is;
         int open;
+        long owesSinceNs;
         int strikes;
         long sickFor;
         long sickUntil;
@@ -113,7 +115,7 @@
         int neverRan;
         boolean answered;
         boolean streaming;
-        boolean waiting;
+        boolean calledBack;
         Try mayHaveRun;
 
         Rq(Req is, Row row, long now, long dueNs) {
@@ -185,6 +187,7 @@
     private final Decay ease = new Decay(MEASURE_HALF_LIFE);
     private final Decay easeOf = new Decay(MEASURE_HALF_LIFE);
     private double slots = SLOTS_FIRST;
+    private boolean strained;
     private long wakeNs;
 
     private boolean watching;
@@ -194,6 +197,7 @@
 
     private News news;
     private long stageSinceNs;
+    private long referenceNs = Long.MIN_VALUE / 2;
     private Shown[] earlier;
     private Shown[] trial;
     private final Detector[] detectors;
@@ -220,6 +224,7 @@
         this.detectors = new Detector[2 * (rows.size() + 1)];
         Arrays.setAll(detectors, i -> new Detector());
         host.timer(now + SECOND, "sample");
+        host.timer(now + RESCUE_TICK, "rescue");
         if (set.listMustBeAsked()) {
             askForList(now);
         }
@@ -311,7 +316,6 @@
 
     private void join(long now, Rq rq) {
         if (!send(now, rq)) {
-            rq.waiting = true;
             (rq.tries.isEmpty() ? firstTries : furtherTries).add(rq);
             wake(Math.min(now + LINE_TICK, lastChance(now, rq)));
         }
@@ -340,11 +344,9 @@
                 it.remove();
             } else if (now >= lastChance(now, rq)) {
                 it.remove();
-                rq.waiting = false;
                 giveUp(now, rq);
             } else if (misses < 8 && send(now, rq)) {
                 it.remove();
-                rq.waiting = false;
             } else {
                 misses++;
             }
@@ -357,23 +359,25 @@
             return false;
         }
         long left = rq.dueNs - now - set.stepNs();
-        long patience = (long) Math.max(PATIENCE_MEANS * rq.row.meanNs(now),
-                PATIENCE_OBJECTIVE * rq.row.is.objectiveNs());
+        // Under strain nothing is worth working on past its latency objective: a jam would feed on it.
+        long patience = strained && mayRepeat(rq.row)
+                ? Math.max(rq.row.is.objectiveNs() / 4, rq.arrivedNs + rq.row.is.objectiveNs() - now) : left;
         boolean cold = cold(now, pod);
         Try t = new Try(pod, now, !cold, pod.is.build());
         rq.tries.add(t);
         rq.out++;
+        rq.calledBack = false;
         if (rq.mayHaveRun == null) {
             rq.mayHaveRun = t;
         }
-        pod.open++;
+        pod.owesSinceNs = pod.open++ == 0 ? now : pod.owesSinceNs;
         if (cold) {
             pod.sentCold.add(now);
         }
         if (onTrial(pod.is.build())) {
             bucket(pod.is.build())[rollout.countedByRoute() ? rq.row.at : 0] -= 1;
         }
-        host.relay(rq.is.id(), pod.id, mayRepeat(rq.row) ? Math.min(left, patience) : left);
+        host.relay(rq.is.id(), pod.id, Math.min(left, patience));
         return true;
     }
 
@@ -396,6 +400,9 @@
         }
         Try t = rq.tries.get(tryNo);
         t.pod.open--;
+        if (ending != Ending.CANCELLED && ending != Ending.TIMEOUT) {
+            t.pod.owesSinceNs = now;
+        }
         rq.out--;
         if (ending.neverRan()) {
             rq.neverRan++;
@@ -519,7 +526,45 @@
 
     /** A pod that failed lately rests; then one try at a time shows whether it is back. */
     private boolean fit(long now, Pod p) {
-        return p.strikes < 2 || now >= p.sickUntil && p.open == 0;
+        return !silent(now, p) && (p.strikes < 2 || now >= p.sickUntil && p.open == 0);
+    }
+
+    /** Hung, cut off, paused or jammed: whatever the cause, it owes answers and has given none for long. */
+    private boolean silent(long now, Pod p) {
+        return p.open > 0 && now - p.owesSinceNs > silenceNs(now);
+    }
+
+    private double silenceNs(long now) {
+        double dearest = 0;
+        for (Row r : rows.values()) {
+            dearest = Math.max(dearest, r.meanNs(now));
+        }
+        return SILENCE_MEANS * dearest;
+    }
+
+    /** Calls back what lies at silent pods, where it may still go elsewhere in time. */
+    private void rescue(long now) {
+        if (!set.limits().cancel()) {
+            return;
+        }
+        for (Rq rq : held.values()) {
+            if (rq.out == 0 || rq.answered || rq.streaming || now >= lastChance(now, rq) || !mayRunAgain(now, rq)) {
+                continue;
+            }
+            Try t = rq.tries.get(rq.tries.size() - 1);
+            if (silent(now, t.pod) && now - t.sentNs > silenceNs(now) && !rq.calledBack) {
+                rq.calledBack = true;
+                t.pod.strikes += 2;
+                t.pod.sickUntil = now + SICK_FOR;
+                host.cancel(rq.is.id(), rq.tries.size() - 1);
+            }
+        }
+    }
+
+    private boolean mayRunAgain(long now, Rq rq) {
+        return rq.tries.size() < set.limits().maxTries() && (rq.row.is.repeat() == Repeat.RETRIABLE
+                || rq.row.is.repeat() == Repeat.DEDUPED
+                && now < rq.mayHaveRun.sentNs + rq.row.is.dedupNs() - 2 * set.stepNs());
     }
 
     private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
@@ -580,6 +625,15 @@
                 .mapToInt(p -> p.is.build()).min().orElse(Integer.MAX_VALUE);
     }
 
+    /** Whether the newest build is neither going back nor gone. */
+    private boolean stands() {
+        return news.phase() == News.Phase.ON_TRIAL || news.phase() == News.Phase.RELEASED;
+    }
+
+    private static double keyPart(long key) {
+        return new SplittableRandom(key).nextDouble();
+    }
+
     private boolean announced(int build) {
         return news != null && build == news.build();
     }
@@ -611,12 +665,16 @@
 
     private boolean exposureRoom(Rq rq, Pod p) {
         int build = p.is.build();
-        if (rollout.oneWay() && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
+        if (news != null && stands() && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
             return false;
         }
         if (!onTrial(build)) {
             return true;
         }
+        // Where a key can't go back, the trial keeps to a part of the keys, so that their later reqs still have room.
+        if (rollout.oneWay() && keyPart(rq.is.key()) >= ONE_WAY_PART * capOf(build)) {
+            return false;
+        }
         int stage = announced(build) ? news.stage() : 0;
         boolean shielded = stage < rollout.shieldedStages() && rq.row.is.repeat() != Repeat.RETRIABLE;
         if (shielded || capOf(build) <= 0) {
@@ -639,7 +697,11 @@
             return;
         }
         boolean judged = t.build == news.build();
-        boolean noReference = earlier[rows.size()].ended.read(now) < REFERENCE_FLOOR;
+        if (!judged) {
+            referenceNs = now;
+        }
+        // Once the earlier pods have gone, the load on the rest has changed and there is no telling what is late.
+        boolean noReference = now - referenceNs > SECOND;
         boolean late = tookNs > row.lateNs && !(judged && noReference);
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
         for (int i : new int[] {row.at, rows.size()}) {
@@ -810,7 +872,8 @@
         if (token.equals("sample")) {
             host.timer(now + SECOND, "sample");
             double at = easeOf.read(now) < 1 ? 0 : ease.read(now) / easeOf.read(now);
-            slots = at > AT_EASE ? Math.max(1, slots * 0.85) : Math.min(SLOTS_MOST, slots + 0.5);
+            strained = at > AT_EASE;
+            slots = strained ? Math.max(1, slots * 0.85) : Math.min(SLOTS_MOST, slots + 0.5);
             if (news != null) {
                 judge(now);
                 vote(now);
@@ -818,6 +881,9 @@
             if (set.listMustBeAsked() && now >= askAgainNs && (!watching || askedNs == 0)) {
                 askForList(now);
             }
+        } else if (token.equals("rescue")) {
+            host.timer(now + RESCUE_TICK, "rescue");
+            rescue(now);
         } else if (now >= wakeNs) {
             wakeNs = 0;
         }
