--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -49,8 +49,7 @@
     private static final long SICK_FOR_MOST = 8 * SECOND;
     /** Answers are wanted at this share of their latency objective; more tries are held at the pods below it. */
     private static final double AT_EASE = 0.45;
-    private static final double SLOTS_FIRST = 8;
-    private static final double SLOTS_MOST = 32;
+    private static final double ROOM_FIRST = 60;
     /** A far pod must be this much less loaded: tries that cross zones cost. */
     private static final double FAR_LOAD = 1.5;
     private static final double ONE_WAY_PART = 0.7;
@@ -90,6 +89,7 @@
         long sickUntil;
         final Decay slowness = new Decay(MEASURE_HALF_LIFE);
         final Decay ended = new Decay(MEASURE_HALF_LIFE);
+        final Decay completed = new Decay(MEASURE_HALF_LIFE);
         final ArrayDeque<Long> sentCold = new ArrayDeque<>();
 
         Pod(PodEntry is) {
@@ -184,9 +184,11 @@
     private final Map<Integer, double[]> exposure = new HashMap<>();
     private final Map<Long, Integer> answeredBy = new HashMap<>();
     private final Decay completed = new Decay(MEASURE_HALF_LIFE);
-    private final Decay ease = new Decay(MEASURE_HALF_LIFE);
-    private final Decay easeOf = new Decay(MEASURE_HALF_LIFE);
-    private double slots = SLOTS_FIRST;
+    private final Decay ease = new Decay(SECOND);
+    private final Decay easeOf = new Decay(SECOND);
+    private final Map<String, Double> warmRates = new HashMap<>();
+    private double room = ROOM_FIRST;
+    private int open;
     private boolean strained;
     private long wakeNs;
 
@@ -354,7 +356,7 @@
     }
 
     private boolean send(long now, Rq rq) {
-        Pod pod = pick(now, rq);
+        Pod pod = open < room ? pick(now, rq) : null;
         if (pod == null) {
             return false;
         }
@@ -366,6 +368,7 @@
         Try t = new Try(pod, now, !cold, pod.is.build());
         rq.tries.add(t);
         rq.out++;
+        open++;
         rq.calledBack = false;
         if (rq.mayHaveRun == null) {
             rq.mayHaveRun = t;
@@ -400,6 +403,7 @@
         }
         Try t = rq.tries.get(tryNo);
         t.pod.open--;
+        open--;
         if (ending != Ending.CANCELLED && ending != Ending.TIMEOUT) {
             t.pod.owesSinceNs = now;
         }
@@ -509,8 +513,7 @@
 
     /** What no rule forbids. */
     private boolean allowed(long now, Rq rq, Pod p) {
-        if (p.is.state() != PodEntry.State.READY || p.open >= Math.max(1, slots * p.is.weight())
-                || !coldRoom(now, p) || !exposureRoom(rq, p)) {
+        if (p.is.state() != PodEntry.State.READY || !coldRoom(now, p) || !exposureRoom(rq, p)) {
             return false;
         }
         if (rq.mayHaveRun == null || rq.row.is.repeat() != Repeat.DEDUPED) {
@@ -526,7 +529,18 @@
 
     /** A pod that failed lately rests; then one try at a time shows whether it is back. */
     private boolean fit(long now, Pod p) {
-        return !silent(now, p) && (p.strikes < 2 || now >= p.sickUntil && p.open == 0);
+        return !silent(now, p) && (p.strikes < 3 || now >= p.sickUntil && p.open == 0);
+    }
+
+    /** Fewer tries lie at the pods the longer answers take: what waits here can still be shed, or go elsewhere. */
+    private void makeRoom(long now) {
+        double at = easeOf.read(now) < 1 ? 0 : ease.read(now) / easeOf.read(now);
+        strained = at > AT_EASE;
+        if (strained) {
+            room = Math.max(pods.size() / 2.0, room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
+        } else if (open > 0.8 * room) {
+            room *= 1.02;
+        }
     }
 
     /** Hung, cut off, paused or jammed: whatever the cause, it owes answers and has given none for long. */
@@ -554,7 +568,7 @@
             Try t = rq.tries.get(rq.tries.size() - 1);
             if (silent(now, t.pod) && now - t.sentNs > silenceNs(now) && !rq.calledBack) {
                 rq.calledBack = true;
-                t.pod.strikes += 2;
+                t.pod.strikes = 6;
                 t.pod.sickUntil = now + SICK_FOR;
                 host.cancel(rq.is.id(), rq.tries.size() - 1);
             }
@@ -581,10 +595,12 @@
         }
         if (ok) {
             completed.add(now, 1);
-            p.strikes = 0;
-            p.sickFor = SICK_FOR;
+            p.completed.add(now, 1);
+            p.strikes = Math.max(0, p.strikes - 1);
+            p.sickFor = p.strikes == 0 ? SICK_FOR : p.sickFor;
         } else if (ending != Ending.FULL) {
-            p.strikes++;
+            // A pod that fails half of its tries must not be cleared by each lucky one.
+            p.strikes = Math.min(6, p.strikes + 2);
             p.sickFor = Math.min(SICK_FOR_MOST, Math.max(SICK_FOR, 2 * p.sickFor));
             p.sickUntil = now + p.sickFor;
         }
@@ -596,6 +612,25 @@
         return p.is.startedNs() > 0 && now < p.is.startedNs() + set.rules().warmAfterNs();
     }
 
+    /**
+     * What a warm pod of the same kind completes for this sidecar; the last known where none is left, since a release
+     * may leave only cold pods.
+     */
+    private double warmRate(long now, Pod cold) {
+        double rate = 0;
+        int n = 0;
+        for (Pod p : pods.values()) {
+            if (p.is.state() == PodEntry.State.READY && !cold(now, p) && p.is.kind().equals(cold.is.kind())) {
+                rate += p.completed.read(now) / p.completed.secondsHeld();
+                n++;
+            }
+        }
+        if (n > 0) {
+            warmRates.put(cold.is.kind(), rate / n);
+        }
+        return warmRates.getOrDefault(cold.is.kind(), 0.0);
+    }
+
     /** Against pushing a cold pod over: what a warm pod gets from here, cut to the share the cold one can do. */
     private boolean coldRoom(long now, Pod p) {
         if (!cold(now, p)) {
@@ -605,9 +640,7 @@
         while (!p.sentCold.isEmpty() && p.sentCold.peek() <= now - window) {
             p.sentCold.poll();
         }
-        long warm = pods.values().stream()
-                .filter(q -> q.is.state() == PodEntry.State.READY && !cold(now, q)).count();
-        double rate = completed.read(now) / completed.secondsHeld() / Math.max(1, warm);
+        double rate = warmRate(now, p);
         double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
         return p.sentCold.size() + 1 <= Math.max(1, can * rate * window / SECOND);
@@ -871,9 +904,6 @@
     public void timer(long now, String token) {
         if (token.equals("sample")) {
             host.timer(now + SECOND, "sample");
-            double at = easeOf.read(now) < 1 ? 0 : ease.read(now) / easeOf.read(now);
-            strained = at > AT_EASE;
-            slots = strained ? Math.max(1, slots * 0.85) : Math.min(SLOTS_MOST, slots + 0.5);
             if (news != null) {
                 judge(now);
                 vote(now);
@@ -884,6 +914,7 @@
         } else if (token.equals("rescue")) {
             host.timer(now + RESCUE_TICK, "rescue");
             rescue(now);
+            makeRoom(now);
         } else if (now >= wakeNs) {
             wakeNs = 0;
         }
