--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -41,6 +41,8 @@
     private static final double LATE_STEP = 0.04;
     /** Outcomes that an earlier build must show lately before anything is called late against it. */
     private static final double REFERENCE_FLOOR = 5;
+    private static final int PROOF = 80;
+    private static final long PROOF_WAIT = 10 * SECOND;
     /** How long a lower-ranked sidecar waits for each voter before it. */
     private static final long STAND_IN_AFTER = 2 * SECOND;
 
@@ -497,6 +499,10 @@
         if (may.isEmpty()) {
             return null;
         }
+        if (rollout.oneWay() && may.stream().anyMatch(p -> onTrial(p.is.build()))) {
+            may.removeIf(p -> !onTrial(p.is.build()));
+            near.removeIf(p -> !onTrial(p.is.build()));
+        }
         List<Pod> from = near.isEmpty() ? may : near;
         Pod a = from.get(random.nextInt(from.size()));
         Pod b = may.get(random.nextInt(may.size()));
@@ -663,6 +669,13 @@
         return news.phase() == News.Phase.ON_TRIAL || news.phase() == News.Phase.RELEASED;
     }
 
+    private double oneWayPart(int build) {
+        long ready = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY).count();
+        long own = pods.values().stream()
+                .filter(p -> p.is.state() == PodEntry.State.READY && p.is.build() == build).count();
+        return Math.min(ONE_WAY_PART * capOf(build), own / (double) ready);
+    }
+
     private static double keyPart(long key) {
         return new SplittableRandom(key).nextDouble();
     }
@@ -705,7 +718,7 @@
             return true;
         }
         // Where a key can't go back, the trial keeps to a part of the keys, so that their later reqs still have room.
-        if (rollout.oneWay() && keyPart(rq.is.key()) >= ONE_WAY_PART * capOf(build)) {
+        if (rollout.oneWay() && keyPart(rq.is.key()) >= oneWayPart(build)) {
             return false;
         }
         int stage = announced(build) ? news.stage() : 0;
@@ -849,7 +862,11 @@
         if (rollout.control() == Control.CLOCKED) {
             return state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
         }
-        return state == State.NORMAL && now - stageSinceNs >= rollout.bakeNs() ? Verdict.ON : Verdict.NONE;
+        long age = now - stageSinceNs;
+        boolean last = news.stage() == rollout.shares().size() - 1;
+        // The last 'on' takes the earlier pods away: it waits for proof, though not for ever.
+        boolean proven = !last || trial[rows.size()].all >= PROOF || age > PROOF_WAIT;
+        return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
     }
 
     private void vote(long now) {
