--- /dev/null
+++ b/src/main/java/mulleinlever/Pod.java
@@ -0,0 +1,26 @@
+package mulleinlever;
+
+import java.util.ArrayDeque;
+
+/** A pod as this sidecar knows it: its line of the list, and what its tries have shown. */
+final class Pod {
+    final String id;
+    PodEntry is;
+    int open;
+    long owesSinceNs;
+    int strikes;
+    long sickForNs;
+    long sickUntilNs;
+    final Decay slowness;
+    final Decay ended;
+    final Decay completed;
+    final ArrayDeque<Long> sentCold = new ArrayDeque<>();
+
+    Pod(PodEntry is, long halfLifeNs) {
+        this.id = is.id();
+        this.is = is;
+        this.slowness = new Decay(halfLifeNs);
+        this.ended = new Decay(halfLifeNs);
+        this.completed = new Decay(halfLifeNs);
+    }
+}
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -58,93 +58,12 @@
     /** A pod that answered nothing for this many mean times of its dearest route, while it owes, is silent. */
     private static final double SILENCE_MEANS = 4;
     private static final long RESCUE_TICK = 100 * MS;
+    /** What waits here longer, in shares of its latency objective, would come late from a strained pod. */
+    private static final double LINE_WAIT = 0.35;
     private static final long LINE_TICK = 25 * MS;
 
     enum State { NORMAL, SUSPECT, ALARM }
 
-    /** One route: what it is owed and what its tries take. */
-    private static final class Row {
-        final Settings.Route is;
-        final int at;
-        final Decay times = new Decay(2 * MEASURE_HALF_LIFE);
-        final Decay ended = new Decay(2 * MEASURE_HALF_LIFE);
-        double lateNs;
-
-        Row(Settings.Route is, int at) {
-            this.is = is;
-            this.at = at;
-            this.lateNs = is.objectiveNs() / 2.0;
-        }
-
-        double meanNs(long now) {
-            return (times.read(now) + is.objectiveNs() / 4.0) / (ended.read(now) + 1);
-        }
-    }
-
-    private static final class Pod {
-        final String id;
-        PodEntry is;
-        int open;
-        long owesSinceNs;
-        int strikes;
-        long sickFor;
-        long sickUntil;
-        final Decay slowness = new Decay(MEASURE_HALF_LIFE);
-        final Decay ended = new Decay(MEASURE_HALF_LIFE);
-        final Decay completed = new Decay(MEASURE_HALF_LIFE);
-        final ArrayDeque<Long> sentCold = new ArrayDeque<>();
-
-        Pod(PodEntry is) {
-            this.id = is.id();
-            this.is = is;
-        }
-
-        double load(long now) {
-            return (open + 1) * (slowness.read(now) + 2) / (ended.read(now) + 2) / Math.max(0.01, is.weight());
-        }
-    }
-
-    private record Try(Pod pod, long sentNs, boolean warm, int build) { }
-
-    /** A req in hand, kept until it has its answer and all its tries have ended. */
-    private static final class Rq {
-        final Req is;
-        final Row row;
-        final long arrivedNs;
-        final long dueNs;
-        final List<Try> tries = new ArrayList<>(2);
-        int out;
-        int neverRan;
-        boolean answered;
-        boolean streaming;
-        boolean calledBack;
-        Try mayHaveRun;
-
-        Rq(Req is, Row row, long now, long dueNs) {
-            this.is = is;
-            this.row = row;
-            this.arrivedNs = now;
-            this.dueNs = dueNs;
-        }
-
-        boolean ran() {
-            return neverRan < tries.size();
-        }
-    }
-
-    /** What one side, the build on trial or the earlier one, has shown lately on one route. */
-    private static final class Shown {
-        final Decay ended = new Decay(SAMPLE_HALF_LIFE);
-        final Decay failed = new Decay(SAMPLE_HALF_LIFE);
-        final Decay late = new Decay(SAMPLE_HALF_LIFE);
-        int all;
-
-        double share(long now, boolean ofLate) {
-            double n = ended.read(now);
-            return n <= 0 ? 0 : Math.min(1, (ofLate ? late : failed).read(now) / n);
-        }
-    }
-
     /** The design's detector for one route and one symptom. */
     static final class Detector {
         double mean;
@@ -221,7 +140,9 @@
         this.host = host;
         this.random = new SplittableRandom(seed);
         for (Settings.Route r : set.routes()) {
-            rows.put(r.name(), new Row(r, rows.size()));
+            Row row = new Row(r, rows.size(), 2 * MEASURE_HALF_LIFE);
+            row.lateNs = r.objectiveNs() / 2.0;
+            rows.put(r.name(), row);
         }
         this.earlier = shown();
         this.trial = shown();
@@ -253,12 +174,12 @@
         for (PodEntry e : entries) {
             Pod pod = pods.get(e.id());
             if (pod == null) {
-                pods.put(e.id(), new Pod(e));
+                pods.put(e.id(), new Pod(e, MEASURE_HALF_LIFE));
             } else {
                 // An id may come back as another machine: nothing that its forerunner did counts for it.
                 if (pod.is.startedNs() != e.startedNs() || pod.is.build() != e.build()) {
                     pod.strikes = 0;
-                    pod.sickUntil = 0;
+                    pod.sickUntilNs = 0;
                     pod.sentCold.clear();
                 }
                 pod.is = e;
@@ -292,7 +213,7 @@
 
     public void req(long now, Req req) {
         Row row = rows.get(req.route());
-        Rq rq = new Rq(req, row, now, now + req.expiresInNs());
+        Rq rq = new Rq(req, row, now);
         held.put(req.id(), rq);
         earnExposure(row);
         if (random.nextDouble() < shedChance(now, rq)) {
@@ -306,16 +227,16 @@
     private double shedChance(long now, Rq rq) {
         double perSecond = Math.max(1, completed.read(now) / completed.secondsHeld());
         double waitNs = firstTries.size() / perSecond * SECOND;
-        double pressure = waitNs / rq.row.is.objectiveNs() - 0.2;
-        return pressure <= 0 ? 0 : Math.min(0.95, pressure * 2 * cheapness(now, rq.row));
+        double pressure = waitNs / rq.row.is.objectiveNs() - LINE_WAIT / 4;
+        return pressure <= 0 ? 0 : Math.min(0.95, pressure / LINE_WAIT * cheapness(now, rq.row));
     }
 
     private double cheapness(long now, Row row) {
         double mean = 0;
         for (Row r : rows.values()) {
-            mean += r.is.earnings() / r.meanNs(now) / rows.size();
+            mean += r.is.earnings() / meanNs(now, r) / rows.size();
         }
-        return Math.min(2, mean / (row.is.earnings() / row.meanNs(now)));
+        return Math.min(2, mean / (row.is.earnings() / meanNs(now, row)));
     }
 
     private void join(long now, Rq rq) {
@@ -327,9 +248,9 @@
 
     /** When waiting for a pod stops making sense: the answer would come after the latency objective, or never. */
     private long lastChance(long now, Rq rq) {
-        long spare = (long) rq.row.meanNs(now);
-        return Math.min(rq.arrivedNs + Math.max(rq.row.is.objectiveNs() - spare, rq.row.is.objectiveNs() / 4),
-                rq.dueNs - 2 * set.stepNs());
+        long wait = rq.tries.isEmpty() ? (long) (LINE_WAIT * rq.row.is.objectiveNs())
+                : rq.row.is.objectiveNs() - (long) meanNs(now, rq.row);
+        return Math.min(rq.arrivedNs + wait, rq.dueNs - 2 * set.stepNs());
     }
 
     private void serveLines(long now) {
@@ -404,10 +325,10 @@
             return;
         }
         Try t = rq.tries.get(tryNo);
-        t.pod.open--;
+        t.pod().open--;
         open--;
         if (ending != Ending.CANCELLED && ending != Ending.TIMEOUT) {
-            t.pod.owesSinceNs = now;
+            t.pod().owesSinceNs = now;
         }
         rq.out--;
         if (ending.neverRan()) {
@@ -419,7 +340,7 @@
             weigh(now, rq.row, t, ending, tookNs);
         }
         if (ending == Ending.OK && rollout.oneWay() && rq.is.key() >= 0) {
-            answeredBy.merge(rq.is.key(), t.build, Math::max);
+            answeredBy.merge(rq.is.key(), t.build(), Math::max);
         }
         rq.answered |= complete || rq.streaming;
         if (!rq.answered && rq.out == 0) {
@@ -441,7 +362,7 @@
     private boolean mayGoAgain(long now, Rq rq) {
         return switch (rq.row.is.repeat()) {
             case RETRIABLE -> true;
-            case DEDUPED -> !rq.ran() || now < rq.mayHaveRun.sentNs + rq.row.is.dedupNs() - 2 * set.stepNs();
+            case DEDUPED -> !rq.ran() || now < rq.mayHaveRun.sentNs() + rq.row.is.dedupNs() - 2 * set.stepNs();
             case NON_RETRIABLE -> !rq.ran();
         };
     }
@@ -510,11 +431,12 @@
     }
 
     private double weighed(long now, Pod p) {
-        return p.load(now) * (set.prices().crossZone() > 0 && !p.is.zone().equals(set.zone()) ? FAR_LOAD : 1);
+        double load = (p.open + 1) * (p.slowness.read(now) + 2) / (p.ended.read(now) + 2);
+        return load / Math.max(0.01, p.is.weight()) * (set.prices().crossZone() > 0 && !p.is.zone().equals(set.zone()) ? FAR_LOAD : 1);
     }
 
     private boolean triedBefore(Rq rq, Pod p) {
-        return rq.tries.stream().anyMatch(t -> t.pod == p);
+        return rq.tries.stream().anyMatch(t -> t.pod() == p);
     }
 
     /** What no rule forbids. */
@@ -525,7 +447,7 @@
         if (rq.mayHaveRun == null || rq.row.is.repeat() != Repeat.DEDUPED) {
             return true;
         }
-        PodEntry ran = rq.mayHaveRun.pod.is;
+        PodEntry ran = rq.mayHaveRun.pod().is;
         return switch (rq.row.is.scope()) {
             case ALL -> true;
             case ZONE -> p.is.zone().equals(ran.zone());
@@ -533,17 +455,22 @@
         };
     }
 
+    private double meanNs(long now, Row row) {
+        return (row.times.read(now) + row.is.objectiveNs() / 4.0) / (row.ended.read(now) + 1);
+    }
+
     /** A pod that failed lately rests; then one try at a time shows whether it is back. */
     private boolean fit(long now, Pod p) {
-        return !silent(now, p) && (p.strikes < 3 || now >= p.sickUntil && p.open == 0);
+        return !silent(now, p) && (p.strikes < 3 || now >= p.sickUntilNs && p.open == 0);
     }
 
     /** Fewer tries lie at the pods the longer answers take: what waits here can still be shed, or go elsewhere. */
     private void makeRoom(long now) {
         double at = easeOf.read(now) < 1 ? 0 : ease.read(now) / easeOf.read(now);
         strained = at > AT_EASE;
+        long ready = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY).count();
         if (strained) {
-            room = Math.max(pods.size() / 2.0, room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
+            room = Math.max(ready, room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
         } else if (open > 0.8 * room) {
             room *= 1.02;
         }
@@ -557,7 +484,7 @@
     private double silenceNs(long now) {
         double dearest = 0;
         for (Row r : rows.values()) {
-            dearest = Math.max(dearest, r.meanNs(now));
+            dearest = Math.max(dearest, meanNs(now, r));
         }
         return SILENCE_MEANS * dearest;
     }
@@ -572,10 +499,10 @@
                 continue;
             }
             Try t = rq.tries.get(rq.tries.size() - 1);
-            if (silent(now, t.pod) && now - t.sentNs > silenceNs(now) && !rq.calledBack) {
+            if (silent(now, t.pod()) && now - t.sentNs() > silenceNs(now) && !rq.calledBack) {
                 rq.calledBack = true;
-                t.pod.strikes = 6;
-                t.pod.sickUntil = now + SICK_FOR;
+                t.pod().strikes = 6;
+                t.pod().sickUntilNs = now + SICK_FOR;
                 host.cancel(rq.is.id(), rq.tries.size() - 1);
             }
         }
@@ -584,31 +511,31 @@
     private boolean mayRunAgain(long now, Rq rq) {
         return rq.tries.size() < set.limits().maxTries() && (rq.row.is.repeat() == Repeat.RETRIABLE
                 || rq.row.is.repeat() == Repeat.DEDUPED
-                && now < rq.mayHaveRun.sentNs + rq.row.is.dedupNs() - 2 * set.stepNs());
+                && now < rq.mayHaveRun.sentNs() + rq.row.is.dedupNs() - 2 * set.stepNs());
     }
 
     private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
-        Pod p = t.pod;
-        double mean = row.meanNs(now);
+        Pod p = t.pod();
+        double mean = meanNs(now, row);
         boolean ok = ending == Ending.OK;
         if (ok || ending == Ending.TIMEOUT) {
             p.slowness.add(now, tookNs / mean);
             p.ended.add(now, 1);
             row.times.add(now, tookNs);
             row.ended.add(now, 1);
-            ease.add(now, ok ? tookNs / (double) row.is.objectiveNs() : 1.5);
+            ease.add(now, tookNs / (double) row.is.objectiveNs());
             easeOf.add(now, 1);
         }
         if (ok) {
             completed.add(now, 1);
             p.completed.add(now, 1);
             p.strikes = Math.max(0, p.strikes - 1);
-            p.sickFor = p.strikes == 0 ? SICK_FOR : p.sickFor;
+            p.sickForNs = p.strikes == 0 ? SICK_FOR : p.sickForNs;
         } else if (ending != Ending.FULL) {
             // A pod that fails half of its tries must not be cleared by each lucky one.
             p.strikes = Math.min(6, p.strikes + 2);
-            p.sickFor = Math.min(SICK_FOR_MOST, Math.max(SICK_FOR, 2 * p.sickFor));
-            p.sickUntil = now + p.sickFor;
+            p.sickForNs = Math.min(SICK_FOR_MOST, Math.max(SICK_FOR, 2 * p.sickForNs));
+            p.sickUntilNs = now + p.sickForNs;
         }
     }
 
@@ -733,16 +660,16 @@
 
     private Shown[] shown() {
         Shown[] all = new Shown[rows.size() + 1];
-        Arrays.setAll(all, i -> new Shown());
+        Arrays.setAll(all, i -> new Shown(SAMPLE_HALF_LIFE));
         return all;
     }
 
     /** An outcome as evidence; pods not yet warm when it was sent are left out. */
     private void weigh(long now, Row row, Try t, Ending ending, long tookNs) {
-        if (news == null || !t.warm || t.build > news.build() || ending == Ending.CONNECT_FAILED) {
+        if (news == null || !t.warm() || t.build() > news.build() || ending == Ending.CONNECT_FAILED) {
             return;
         }
-        boolean judged = t.build == news.build();
+        boolean judged = t.build() == news.build();
         if (!judged) {
             referenceNs = now;
         }
--- /dev/null
+++ b/src/main/java/mulleinlever/Try.java
@@ -0,0 +1,4 @@
+package mulleinlever;
+
+/** An upstream try: where it went, when, and whether the pod was warm then. */
+record Try(Pod pod, long sentNs, boolean warm, int build) { }
