--- a/src/main/java/mulleinlever/PodEntry.java
+++ b/src/main/java/mulleinlever/PodEntry.java
@@ -4,4 +4,8 @@
 public record PodEntry(String id, String zone, String kind, int cell, int build, State state, double weight,
         long startedNs) {
     public enum State { READY, DRAINING, GONE }
+
+    PodEntry gone() {
+        return new PodEntry(id, zone, kind, cell, build, State.GONE, weight, startedNs);
+    }
 }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -15,56 +15,61 @@
 import mulleinlever.Settings.Scope;
 
 /**
- * Every decision of one sidecar: where a req goes, when it is tried again or given up, and how this sidecar votes.
+ * Every decision of one sidecar: where a req goes, when it is tried again or given up, and how the sidecar votes.
  * Whoever hosts it calls one method for each thing that happens, with the time; it acts only by calling the
- * {@link Host} it was handed. Host and the plain value types beside it are the whole interface. The mechanism and
- * its exceptions are explained in docs/design.md.
+ * {@link Host} it was handed. Host and the plain value types beside it are the whole interface; docs/design.md
+ * explains the mechanism and when each exception to it acts.
  */
 public final class Policy {
     private static final long MS = 1_000_000L;
     private static final long SECOND = 1_000 * MS;
 
-    /** The detector's thresholds, floors and number of voters are the design's. */
+    // The design's own figures.
     private static final double SUSPECT_AT = 2.5;
     private static final double ALARM_AT = 4.5;
     private static final double ALARM_CLEARS_AT = 0.5;
     private static final double DEVIATION_FLOOR = 0.02;
     private static final int OUTCOME_FLOOR = 20;
     private static final int VOTERS = 3;
-    /** Slow enough that a trial's first seconds hardly move it, quick enough to be learned within a day's start. */
+
+    /** Low enough that a trial's first seconds hardly move it, high enough to be learned early in a day. */
     private static final double LONG_WEIGHT = 0.05;
-    /** The sample is itself a sum over some seconds, so that one second of thin traffic can't raise an alarm. */
+    /** The sample is itself a sum over some seconds, so that one second of thin traffic raises no alarm. */
     private static final double SHORT_WEIGHT = 0.5;
     private static final long SAMPLE_HALF_LIFE = 6 * SECOND;
     /** A try is late above this quantile of what the earlier build takes: lower drowns in noise, higher is rare. */
     private static final double LATE_QUANTILE = 0.8;
     private static final double LATE_STEP = 0.04;
-    /** Outcomes that an earlier build must show lately before anything is called late against it. */
+    /** Outcomes that the earlier build must have shown lately before its share is a sample. */
     private static final double REFERENCE_FLOOR = 5;
+    /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
-    /** How long a lower-ranked sidecar waits for each voter before it. */
+    /** How long a later-ranked sidecar waits for each voter before it. */
     private static final long STAND_IN_AFTER = 2 * SECOND;
 
     private static final long MEASURE_HALF_LIFE = 5 * SECOND;
     private static final long SICK_FOR = 500 * MS;
     private static final long SICK_FOR_MOST = 8 * SECOND;
-    /** Answers are wanted at this share of their latency objective; more tries are held at the pods below it. */
+    private static final int SICK_STRIKES = 3;
+    private static final int MOST_STRIKES = 6;
+    /** A pod that owes answers and gave none for so many mean times of the slowest route is silent. */
+    private static final double SILENCE_MEANS = 4;
+    /** Answers are wanted at this share of their latency objective; above it, fewer tries are let out. */
     private static final double AT_EASE = 0.45;
     private static final double ROOM_FIRST = 60;
-    /** A far pod must be this much less loaded: tries that cross zones cost. */
+    /** What waits in line longer, in shares of its latency objective, would come late from a strained pod. */
+    private static final double LINE_WAIT = 0.35;
+    /** How much less loaded a far pod must be, where tries that cross zones cost. */
     private static final double FAR_LOAD = 1.5;
+    /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
-    /** A pod that answered nothing for this many mean times of its dearest route, while it owes, is silent. */
-    private static final double SILENCE_MEANS = 4;
-    private static final long RESCUE_TICK = 100 * MS;
-    /** What waits here longer, in shares of its latency objective, would come late from a strained pod. */
-    private static final double LINE_WAIT = 0.35;
+    private static final long TICK = 100 * MS;
     private static final long LINE_TICK = 25 * MS;
 
     enum State { NORMAL, SUSPECT, ALARM }
 
-    /** The design's detector for one route and one symptom. */
+    /** The design's detector, for one route and one symptom. */
     static final class Detector {
         double mean;
         double deviation;
@@ -75,21 +80,17 @@
         void learn(double sample) {
             double w = Math.max(LONG_WEIGHT, 1.0 / ++samples);
             mean = w * sample + (1 - w) * mean;
-            double off = sample - mean;
-            deviation = Math.sqrt(w * off * off + (1 - w) * deviation * deviation);
+            deviation = Math.sqrt(w * (sample - mean) * (sample - mean) + (1 - w) * deviation * deviation);
         }
 
         void judge(double sample, double n) {
             recent = SHORT_WEIGHT * sample + (1 - SHORT_WEIGHT) * recent;
             double floor = Math.max(DEVIATION_FLOOR, Math.sqrt(sample * (1 - sample) / n));
             double above = (recent - mean) / Math.max(deviation, floor);
-            if (above > ALARM_AT) {
-                state = State.ALARM;
-            } else if (state == State.ALARM) {
-                state = above < ALARM_CLEARS_AT ? State.NORMAL : State.ALARM;
-            } else {
-                state = above > SUSPECT_AT ? State.SUSPECT : State.NORMAL;
-            }
+            boolean held = state == State.ALARM && above >= ALARM_CLEARS_AT;
+            boolean cleared = state == State.ALARM && !held;
+            state = above > ALARM_AT || held ? State.ALARM
+                    : above > SUSPECT_AT && !cleared ? State.SUSPECT : State.NORMAL;
         }
     }
 
@@ -97,17 +98,15 @@
     private final Rollout rollout;
     private final Host host;
     private final SplittableRandom random;
-    private final Map<String, Row> rows = new HashMap<>();
+    private final Map<String, Row> rows = new LinkedHashMap<>();
     private final Map<String, Pod> pods = new LinkedHashMap<>();
+
     private final Map<String, Rq> held = new LinkedHashMap<>();
     private final ArrayDeque<Rq> firstTries = new ArrayDeque<>();
     private final ArrayDeque<Rq> furtherTries = new ArrayDeque<>();
-    private final Map<Integer, double[]> exposure = new HashMap<>();
-    private final Map<Long, Integer> answeredBy = new HashMap<>();
     private final Decay completed = new Decay(MEASURE_HALF_LIFE);
     private final Decay ease = new Decay(SECOND);
     private final Decay easeOf = new Decay(SECOND);
-    private final Map<String, Double> warmRates = new HashMap<>();
     private double room = ROOM_FIRST;
     private int open;
     private boolean strained;
@@ -115,9 +114,12 @@
 
     private boolean watching;
     private long askAgainNs;
-    private long askedNs;
     private int asksFailed;
 
+    private final Map<Integer, double[]> exposure = new HashMap<>();
+    private final Map<Long, Integer> answeredBy = new HashMap<>();
+    private final Map<String, Double> warmRates = new HashMap<>();
+
     private News news;
     private long stageSinceNs;
     private long referenceNs = Long.MIN_VALUE / 2;
@@ -125,14 +127,14 @@
     private Shown[] trial;
     private final Detector[] detectors;
     private State state = State.NORMAL;
-    private Verdict standing = Verdict.NONE;
-    private int standingStage;
-    private long standingUntilNs;
+
+    private Verdict wanted = Verdict.NONE;
+    private long wantedSinceNs;
     private Verdict asked;
     private long votedNs;
     private long voteAgainNs;
-    private Verdict wanted = Verdict.NONE;
-    private long wantedSinceNs;
+    private Verdict standing = Verdict.NONE;
+    private long standingUntilNs;
 
     public Policy(Settings set, long seed, long now, Host host) {
         this.set = set;
@@ -144,12 +146,12 @@
             row.lateNs = r.objectiveNs() / 2.0;
             rows.put(r.name(), row);
         }
-        this.earlier = shown();
-        this.trial = shown();
-        this.detectors = new Detector[2 * (rows.size() + 1)];
+        earlier = shown();
+        trial = shown();
+        detectors = new Detector[2 * earlier.length];
         Arrays.setAll(detectors, i -> new Detector());
         host.timer(now + SECOND, "sample");
-        host.timer(now + RESCUE_TICK, "rescue");
+        host.timer(now + TICK, "tick");
         if (set.listMustBeAsked()) {
             askForList(now);
         }
@@ -158,77 +160,67 @@
     // ---- The list of pods.
 
     public void listRemembered(long now, List<PodEntry> entries) {
-        listChanged(now, entries);
+        take(entries);
+        serveLines(now);
     }
 
     public void listWhole(long now, List<PodEntry> entries) {
-        Map<String, Pod> missing = new LinkedHashMap<>(pods);
+        Map<String, Pod> missing = new HashMap<>(pods);
         entries.forEach(e -> missing.remove(e.id()));
-        missing.values().forEach(p -> p.is = gone(p.is));
-        watching = true;
-        asksFailed = 0;
+        missing.values().forEach(p -> p.is = p.is.gone());
         listChanged(now, entries);
     }
 
     public void listChanged(long now, List<PodEntry> entries) {
-        for (PodEntry e : entries) {
-            Pod pod = pods.get(e.id());
-            if (pod == null) {
-                pods.put(e.id(), new Pod(e, MEASURE_HALF_LIFE));
-            } else {
-                // An id may come back as another machine: nothing that its forerunner did counts for it.
-                if (pod.is.startedNs() != e.startedNs() || pod.is.build() != e.build()) {
-                    pod.strikes = 0;
-                    pod.sickUntilNs = 0;
-                    pod.sentCold.clear();
-                }
-                pod.is = e;
-            }
-        }
         watching = true;
         asksFailed = 0;
+        take(entries);
         serveLines(now);
     }
 
+    private void take(List<PodEntry> entries) {
+        for (PodEntry e : entries) {
+            Pod pod = pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE));
+            // An id may come back as another machine: nothing that its forerunner did counts for it.
+            if (pod.is.startedNs() != e.startedNs() || pod.is.build() != e.build()) {
+                pod.strikes = 0;
+                pod.sentCold.clear();
+            }
+            pod.is = e;
+        }
+    }
+
     /** Whether a watch still stands can't be told from the notice, so it is asked for again, ever more rarely. */
     public void listFailed(long now) {
         watching = false;
-        asksFailed++;
-        long wait = Math.min(SECOND << Math.min(asksFailed, 4), Math.max(SECOND, set.rules().askWithinNs() / 3));
+        long most = Math.max(SECOND, set.rules().askWithinNs() / 3);
+        long wait = Math.min(SECOND << Math.min(++asksFailed, 4), most);
         askAgainNs = now + wait / 2 + random.nextLong(wait / 2 + 1);
     }
 
-    private static PodEntry gone(PodEntry e) {
-        return new PodEntry(e.id(), e.zone(), e.kind(), e.cell(), e.build(), PodEntry.State.GONE, e.weight(),
-                e.startedNs());
-    }
-
     private void askForList(long now) {
         host.watchList();
-        askedNs = now;
         askAgainNs = now + Math.min(4 * SECOND, Math.max(SECOND, set.rules().askWithinNs() / 2));
     }
 
     // ---- Reqs.
 
     public void req(long now, Req req) {
-        Row row = rows.get(req.route());
-        Rq rq = new Rq(req, row, now);
+        Rq rq = new Rq(req, rows.get(req.route()), now);
         held.put(req.id(), rq);
-        earnExposure(row);
+        earnExposure(rq.row);
         if (random.nextDouble() < shedChance(now, rq)) {
             giveUp(now, rq);
-            return;
+        } else {
+            join(now, rq);
         }
-        join(now, rq);
     }
 
     /** By chance, the cheaper the more often: a full line would turn away the dear ones just as well. */
     private double shedChance(long now, Rq rq) {
-        double perSecond = Math.max(1, completed.read(now) / completed.secondsHeld());
-        double waitNs = firstTries.size() / perSecond * SECOND;
-        double pressure = waitNs / rq.row.is.objectiveNs() - LINE_WAIT / 4;
-        return pressure <= 0 ? 0 : Math.min(0.95, pressure / LINE_WAIT * cheapness(now, rq.row));
+        double perNs = Math.max(1, completed.read(now) / completed.secondsHeld()) / SECOND;
+        double pressure = firstTries.size() / perNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
+        return Math.min(0.95, pressure * cheapness(now, rq.row));
     }
 
     private double cheapness(long now, Row row) {
@@ -248,9 +240,9 @@
 
     /** When waiting for a pod stops making sense: the answer would come after the latency objective, or never. */
     private long lastChance(long now, Rq rq) {
-        long wait = rq.tries.isEmpty() ? (long) (LINE_WAIT * rq.row.is.objectiveNs())
-                : rq.row.is.objectiveNs() - (long) meanNs(now, rq.row);
-        return Math.min(rq.arrivedNs + wait, rq.dueNs - 2 * set.stepNs());
+        double objective = rq.row.is.objectiveNs();
+        double wait = rq.tries.isEmpty() ? LINE_WAIT * objective : objective - meanNs(now, rq.row);
+        return Math.min(rq.arrivedNs + (long) wait, rq.dueNs - 2 * set.stepNs());
     }
 
     private void serveLines(long now) {
@@ -265,13 +257,12 @@
         int misses = 0;
         for (Iterator<Rq> it = line.iterator(); it.hasNext();) {
             Rq rq = it.next();
-            if (rq.answered) {
-                it.remove();
-            } else if (now >= lastChance(now, rq)) {
-                it.remove();
-                giveUp(now, rq);
-            } else if (misses < 8 && send(now, rq)) {
+            boolean over = now >= lastChance(now, rq);
+            if (rq.answered || over || misses < 8 && send(now, rq)) {
                 it.remove();
+                if (over && !rq.answered) {
+                    giveUp(now, rq);
+                }
             } else {
                 misses++;
             }
@@ -283,54 +274,46 @@
         if (pod == null) {
             return false;
         }
-        long left = rq.dueNs - now - set.stepNs();
-        // Under strain nothing is worth working on past its latency objective: a jam would feed on it.
-        long patience = strained && mayRepeat(rq.row)
-                ? Math.max(rq.row.is.objectiveNs() / 4, rq.arrivedNs + rq.row.is.objectiveNs() - now) : left;
         boolean cold = cold(now, pod);
         Try t = new Try(pod, now, !cold, pod.is.build());
         rq.tries.add(t);
         rq.out++;
-        open++;
         rq.calledBack = false;
-        if (rq.mayHaveRun == null) {
-            rq.mayHaveRun = t;
-        }
+        rq.mayHaveRun = rq.mayHaveRun == null ? t : rq.mayHaveRun;
         pod.owesSinceNs = pod.open++ == 0 ? now : pod.owesSinceNs;
+        open++;
         if (cold) {
             pod.sentCold.add(now);
         }
-        if (onTrial(pod.is.build())) {
-            bucket(pod.is.build())[rollout.countedByRoute() ? rq.row.at : 0] -= 1;
+        if (onTrial(t.build())) {
+            bucket(t.build())[lane(rq.row)]--;
         }
-        host.relay(rq.is.id(), pod.id, Math.min(left, patience));
+        long limit = rq.dueNs - now - set.stepNs();
+        if (strained && rq.row.is.repeat() != Repeat.NON_RETRIABLE) {
+            // Work past its latency objective feeds a jam.
+            long objective = rq.row.is.objectiveNs();
+            limit = Math.min(limit, Math.max(objective / 4, rq.arrivedNs + objective - now));
+        }
+        host.relay(rq.is.id(), pod.id, limit);
         return true;
     }
 
-    private static boolean mayRepeat(Row row) {
-        return row.is.repeat() != Repeat.NON_RETRIABLE;
-    }
-
-    public void streamBegan(long now, String id, int tryNo, String podId) {
+    public void streamBegan(long now, String id) {
         Rq rq = held.get(id);
         if (rq != null) {
             rq.streaming = true;
         }
     }
 
-    public void tryEnded(long now, String id, int tryNo, String podId, Ending ending, long tookNs, boolean complete,
-            LoadReport report) {
+    public void tryEnded(long now, String id, int tryNo, Ending ending, long tookNs, boolean complete) {
         Rq rq = held.get(id);
         if (rq == null || tryNo < 0 || tryNo >= rq.tries.size()) {
             return;
         }
         Try t = rq.tries.get(tryNo);
         t.pod().open--;
-        open--;
-        if (ending != Ending.CANCELLED && ending != Ending.TIMEOUT) {
-            t.pod().owesSinceNs = now;
-        }
         rq.out--;
+        open--;
         if (ending.neverRan()) {
             rq.neverRan++;
             rq.mayHaveRun = rq.mayHaveRun == t ? null : rq.mayHaveRun;
@@ -344,37 +327,29 @@
         }
         rq.answered |= complete || rq.streaming;
         if (!rq.answered && rq.out == 0) {
-            tryAgain(now, rq);
+            if (now < lastChance(now, rq) && mayGoAgain(now, rq)) {
+                join(now, rq);
+            } else {
+                giveUp(now, rq);
+            }
         }
         forgetIfDone(rq);
         serveLines(now);
     }
 
-    private void tryAgain(long now, Rq rq) {
-        boolean again = rq.tries.size() < set.limits().maxTries() && now < lastChance(now, rq) && mayGoAgain(now, rq);
-        if (again) {
-            join(now, rq);
-        } else {
-            giveUp(now, rq);
-        }
-    }
-
     private boolean mayGoAgain(long now, Rq rq) {
-        return switch (rq.row.is.repeat()) {
-            case RETRIABLE -> true;
-            case DEDUPED -> !rq.ran() || now < rq.mayHaveRun.sentNs() + rq.row.is.dedupNs() - 2 * set.stepNs();
-            case NON_RETRIABLE -> !rq.ran();
-        };
+        return rq.tries.size() < set.limits().maxTries() && (rq.neverRan == rq.tries.size()
+                || rq.row.is.repeat() == Repeat.RETRIABLE || rq.row.is.repeat() == Repeat.DEDUPED
+                && now < rq.mayHaveRun.sentNs() + rq.row.is.dedupNs() - 2 * set.stepNs());
     }
 
     /** The answer goes out at once; a shed reply where a repeat is harmless, so that the client may come back. */
     private void giveUp(long now, Rq rq) {
-        boolean harmless = rq.row.is.repeat() == Repeat.RETRIABLE || !rq.ran()
-                || rq.row.is.repeat() == Repeat.DEDUPED && rq.row.is.scope() == Scope.ALL;
         rq.answered = true;
-        if (harmless) {
-            host.shed(rq.is.id(), set.limits().retryAfter()
-                    ? Math.min(set.limits().maxRetryAfterNs(), rq.row.is.objectiveNs() / 4) : 0);
+        if (rq.neverRan == rq.tries.size() || rq.row.is.repeat() == Repeat.RETRIABLE
+                || rq.row.is.repeat() == Repeat.DEDUPED && rq.row.is.scope() == Scope.ALL) {
+            long backoff = Math.min(set.limits().maxRetryAfterNs(), rq.row.is.objectiveNs() / 4);
+            host.shed(rq.is.id(), set.limits().retryAfter() ? backoff : 0);
         } else {
             host.error(rq.is.id());
         }
@@ -383,16 +358,13 @@
 
     public void clientGone(long now, String id) {
         Rq rq = held.get(id);
-        if (rq == null) {
-            return;
-        }
-        rq.answered = true;
-        if (set.limits().cancel() && !rq.streaming) {
-            for (int i = 0; i < rq.tries.size() && rq.out > 0; i++) {
-                host.cancel(id, i);
+        if (rq != null) {
+            rq.answered = true;
+            if (rq.out > 0 && set.limits().cancel() && !rq.streaming) {
+                host.cancel(id, rq.tries.size() - 1);
             }
+            forgetIfDone(rq);
         }
-        forgetIfDone(rq);
     }
 
     private void forgetIfDone(Rq rq) {
@@ -403,40 +375,41 @@
 
     // ---- Choosing a pod.
 
-    /** Two random choices by load among the pods the req may go to; the first from its own zone where there is one. */
+    /** Two random choices by load among the pods the req may go to, the first of them near where there is one. */
     private Pod pick(long now, Rq rq) {
         List<Pod> may = new ArrayList<>();
-        List<Pod> near = new ArrayList<>();
-        for (int pass = 0; pass < 2 && may.isEmpty(); pass++) {
-            for (Pod p : pods.values()) {
-                if (allowed(now, rq, p) && (pass == 1 || fit(now, p) && !triedBefore(rq, p))) {
-                    may.add(p);
-                    if (p.is.zone().equals(set.zone())) {
-                        near.add(p);
-                    }
-                }
+        for (Pod p : pods.values()) {
+            if (allowed(now, rq, p)) {
+                may.add(p);
             }
         }
+        prefer(may, p -> fit(now, p) && rq.tries.stream().noneMatch(t -> t.pod() == p));
+        if (rollout.oneWay()) {
+            prefer(may, p -> onTrial(p.is.build()));
+        }
         if (may.isEmpty()) {
             return null;
         }
-        if (rollout.oneWay() && may.stream().anyMatch(p -> onTrial(p.is.build()))) {
-            may.removeIf(p -> !onTrial(p.is.build()));
-            near.removeIf(p -> !onTrial(p.is.build()));
-        }
-        List<Pod> from = near.isEmpty() ? may : near;
-        Pod a = from.get(random.nextInt(from.size()));
+        List<Pod> near = new ArrayList<>(may);
+        prefer(near, this::near);
+        Pod a = near.get(random.nextInt(near.size()));
         Pod b = may.get(random.nextInt(may.size()));
-        return weighed(now, b) < weighed(now, a) ? b : a;
+        return load(now, b) < load(now, a) ? b : a;
     }
 
-    private double weighed(long now, Pod p) {
-        double load = (p.open + 1) * (p.slowness.read(now) + 2) / (p.ended.read(now) + 2);
-        return load / Math.max(0.01, p.is.weight()) * (set.prices().crossZone() > 0 && !p.is.zone().equals(set.zone()) ? FAR_LOAD : 1);
+    private static void prefer(List<Pod> from, java.util.function.Predicate<Pod> wish) {
+        if (from.stream().anyMatch(wish)) {
+            from.removeIf(wish.negate());
+        }
+    }
+
+    private boolean near(Pod p) {
+        return p.is.zone().equals(set.zone());
     }
 
-    private boolean triedBefore(Rq rq, Pod p) {
-        return rq.tries.stream().anyMatch(t -> t.pod() == p);
+    private double load(long now, Pod p) {
+        double load = (p.open + 1) * (p.slowness.read(now) + 2) / (p.ended.read(now) + 2);
+        return load / Math.max(0.01, p.is.weight()) * (set.prices().crossZone() > 0 && !near(p) ? FAR_LOAD : 1);
     }
 
     /** What no rule forbids. */
@@ -455,25 +428,39 @@
         };
     }
 
+    // ---- The pods' health, and the room for open tries.
+
     private double meanNs(long now, Row row) {
         return (row.times.read(now) + row.is.objectiveNs() / 4.0) / (row.ended.read(now) + 1);
     }
 
-    /** A pod that failed lately rests; then one try at a time shows whether it is back. */
-    private boolean fit(long now, Pod p) {
-        return !silent(now, p) && (p.strikes < 3 || now >= p.sickUntilNs && p.open == 0);
+    private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
+        Pod p = t.pod();
+        boolean ok = ending == Ending.OK;
+        p.owesSinceNs = ending == Ending.TIMEOUT ? p.owesSinceNs : now;
+        if (ok || ending == Ending.TIMEOUT) {
+            p.slowness.add(now, tookNs / meanNs(now, row));
+            p.ended.add(now, 1);
+            row.times.add(now, tookNs);
+            row.ended.add(now, 1);
+            ease.add(now, tookNs / (double) row.is.objectiveNs());
+            easeOf.add(now, 1);
+        }
+        if (ok) {
+            completed.add(now, 1);
+            p.completed.add(now, 1);
+            // A pod that fails half of its tries must not be cleared by one lucky answer.
+            p.strikes = Math.max(0, p.strikes - 1);
+        } else if (ending != Ending.FULL) {
+            p.strikes = Math.min(MOST_STRIKES, p.strikes + 2);
+            p.sickForNs = p.strikes <= 2 ? SICK_FOR : Math.min(SICK_FOR_MOST, 2 * p.sickForNs);
+            p.sickUntilNs = now + p.sickForNs;
+        }
     }
 
-    /** Fewer tries lie at the pods the longer answers take: what waits here can still be shed, or go elsewhere. */
-    private void makeRoom(long now) {
-        double at = easeOf.read(now) < 1 ? 0 : ease.read(now) / easeOf.read(now);
-        strained = at > AT_EASE;
-        long ready = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY).count();
-        if (strained) {
-            room = Math.max(ready, room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
-        } else if (open > 0.8 * room) {
-            room *= 1.02;
-        }
+    /** A pod that failed lately rests; then one try at a time shows whether it is back. */
+    private boolean fit(long now, Pod p) {
+        return !silent(now, p) && (p.strikes < SICK_STRIKES || now >= p.sickUntilNs && p.open == 0);
     }
 
     /** Hung, cut off, paused or jammed: whatever the cause, it owes answers and has given none for long. */
@@ -482,60 +469,35 @@
     }
 
     private double silenceNs(long now) {
-        double dearest = 0;
-        for (Row r : rows.values()) {
-            dearest = Math.max(dearest, meanNs(now, r));
-        }
-        return SILENCE_MEANS * dearest;
+        return SILENCE_MEANS * rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
     }
 
     /** Calls back what lies at silent pods, where it may still go elsewhere in time. */
     private void rescue(long now) {
-        if (!set.limits().cancel()) {
-            return;
-        }
         for (Rq rq : held.values()) {
-            if (rq.out == 0 || rq.answered || rq.streaming || now >= lastChance(now, rq) || !mayRunAgain(now, rq)) {
+            if (rq.out == 0 || rq.answered || rq.streaming || rq.calledBack || now >= lastChance(now, rq)
+                    || rq.row.is.repeat() == Repeat.NON_RETRIABLE || !mayGoAgain(now, rq)) {
                 continue;
             }
             Try t = rq.tries.get(rq.tries.size() - 1);
-            if (silent(now, t.pod()) && now - t.sentNs() > silenceNs(now) && !rq.calledBack) {
+            if (silent(now, t.pod()) && now - t.sentNs() > silenceNs(now)) {
                 rq.calledBack = true;
-                t.pod().strikes = 6;
+                t.pod().strikes = MOST_STRIKES;
                 t.pod().sickUntilNs = now + SICK_FOR;
                 host.cancel(rq.is.id(), rq.tries.size() - 1);
             }
         }
     }
 
-    private boolean mayRunAgain(long now, Rq rq) {
-        return rq.tries.size() < set.limits().maxTries() && (rq.row.is.repeat() == Repeat.RETRIABLE
-                || rq.row.is.repeat() == Repeat.DEDUPED
-                && now < rq.mayHaveRun.sentNs() + rq.row.is.dedupNs() - 2 * set.stepNs());
-    }
-
-    private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
-        Pod p = t.pod();
-        double mean = meanNs(now, row);
-        boolean ok = ending == Ending.OK;
-        if (ok || ending == Ending.TIMEOUT) {
-            p.slowness.add(now, tookNs / mean);
-            p.ended.add(now, 1);
-            row.times.add(now, tookNs);
-            row.ended.add(now, 1);
-            ease.add(now, tookNs / (double) row.is.objectiveNs());
-            easeOf.add(now, 1);
-        }
-        if (ok) {
-            completed.add(now, 1);
-            p.completed.add(now, 1);
-            p.strikes = Math.max(0, p.strikes - 1);
-            p.sickForNs = p.strikes == 0 ? SICK_FOR : p.sickForNs;
-        } else if (ending != Ending.FULL) {
-            // A pod that fails half of its tries must not be cleared by each lucky one.
-            p.strikes = Math.min(6, p.strikes + 2);
-            p.sickForNs = Math.min(SICK_FOR_MOST, Math.max(SICK_FOR, 2 * p.sickForNs));
-            p.sickUntilNs = now + p.sickForNs;
+    /** Fewer tries lie at the pods the longer answers take: what waits here can still be shed, or go elsewhere. */
+    private void makeRoom(long now) {
+        double at = easeOf.read(now) < 1 ? 0 : ease.read(now) / easeOf.read(now);
+        strained = at > AT_EASE;
+        if (strained) {
+            long ready = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY).count();
+            room = Math.max(ready, room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
+        } else if (open > 0.8 * room) {
+            room *= 1.02;
         }
     }
 
@@ -545,6 +507,20 @@
         return p.is.startedNs() > 0 && now < p.is.startedNs() + set.rules().warmAfterNs();
     }
 
+    /** Against pushing a cold pod over: what a warm pod gets from here, cut to the share the cold one can do. */
+    private boolean coldRoom(long now, Pod p) {
+        if (!cold(now, p)) {
+            return true;
+        }
+        long window = set.rules().fallNs();
+        while (!p.sentCold.isEmpty() && p.sentCold.peek() <= now - window) {
+            p.sentCold.poll();
+        }
+        double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
+        double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
+        return p.sentCold.size() + 1 <= Math.max(1, can * warmRate(now, p) * window / SECOND);
+    }
+
     /**
      * What a warm pod of the same kind completes for this sidecar; the last known where none is left, since a release
      * may leave only cold pods.
@@ -564,47 +540,13 @@
         return warmRates.getOrDefault(cold.is.kind(), 0.0);
     }
 
-    /** Against pushing a cold pod over: what a warm pod gets from here, cut to the share the cold one can do. */
-    private boolean coldRoom(long now, Pod p) {
-        if (!cold(now, p)) {
-            return true;
-        }
-        long window = set.rules().fallNs();
-        while (!p.sentCold.isEmpty() && p.sentCold.peek() <= now - window) {
-            p.sentCold.poll();
-        }
-        double rate = warmRate(now, p);
-        double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
-        double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
-        return p.sentCold.size() + 1 <= Math.max(1, can * rate * window / SECOND);
-    }
-
     // ---- Exposure.
 
     private boolean onTrial(int build) {
-        return news == null ? build > lowestBuild()
-                : build > news.build() || build == news.build() && news.phase() != News.Phase.RELEASED;
-    }
-
-    private int lowestBuild() {
-        return pods.values().stream().filter(p -> p.is.state() != PodEntry.State.GONE)
-                .mapToInt(p -> p.is.build()).min().orElse(Integer.MAX_VALUE);
-    }
-
-    /** Whether the newest build is neither going back nor gone. */
-    private boolean stands() {
-        return news.phase() == News.Phase.ON_TRIAL || news.phase() == News.Phase.RELEASED;
-    }
-
-    private double oneWayPart(int build) {
-        long ready = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY).count();
-        long own = pods.values().stream()
-                .filter(p -> p.is.state() == PodEntry.State.READY && p.is.build() == build).count();
-        return Math.min(ONE_WAY_PART * capOf(build), own / (double) ready);
-    }
-
-    private static double keyPart(long key) {
-        return new SplittableRandom(key).nextDouble();
+        if (news == null) {
+            return pods.values().stream().anyMatch(p -> p.is.build() < build);
+        }
+        return build > news.build() || build == news.build() && news.phase() != News.Phase.RELEASED;
     }
 
     private boolean announced(int build) {
@@ -615,13 +557,17 @@
         return announced(build) ? news.cap() : rollout.caps().get(0);
     }
 
+    private int lane(Row row) {
+        return rollout.countedByRoute() ? row.at : 0;
+    }
+
     /**
      * What may still be sent to a build: each req taken earns its capped share, and no more than the free number is
-     * ever saved up, so no window of any length can hold more than the rule allows. It starts empty, since a
+     * ever saved up, so that no window of any length holds more than the rule allows. It starts empty, since a
      * forerunner of this sidecar may just have spent it.
      */
     private double[] bucket(int build) {
-        return exposure.computeIfAbsent(build, b -> new double[rollout.countedByRoute() ? rows.size() : 1]) ;
+        return exposure.computeIfAbsent(build, b -> new double[rows.size()]);
     }
 
     private void earnExposure(Row row) {
@@ -630,30 +576,38 @@
                 bucket(p.is.build());
             }
         }
-        for (Map.Entry<Integer, double[]> e : exposure.entrySet()) {
-            int at = rollout.countedByRoute() ? row.at : 0;
-            e.getValue()[at] = Math.min(rollout.uncounted(), e.getValue()[at] + capOf(e.getKey()));
-        }
+        exposure.forEach((build, saved) -> saved[lane(row)] =
+                Math.min(rollout.uncounted(), saved[lane(row)] + capOf(build)));
     }
 
     private boolean exposureRoom(Rq rq, Pod p) {
         int build = p.is.build();
-        if (news != null && stands() && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
+        boolean stands = news != null && news.phase() != News.Phase.REVERTING && news.phase() != News.Phase.WITHDRAWN;
+        if (stands && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
             return false;
         }
         if (!onTrial(build)) {
             return true;
         }
-        // Where a key can't go back, the trial keeps to a part of the keys, so that their later reqs still have room.
-        if (rollout.oneWay() && keyPart(rq.is.key()) >= oneWayPart(build)) {
-            return false;
-        }
         int stage = announced(build) ? news.stage() : 0;
-        boolean shielded = stage < rollout.shieldedStages() && rq.row.is.repeat() != Repeat.RETRIABLE;
-        if (shielded || capOf(build) <= 0) {
+        if (capOf(build) <= 0 || stage < rollout.shieldedStages() && rq.row.is.repeat() != Repeat.RETRIABLE
+                || rollout.oneWay() && !oneWayKey(rq, build)) {
             return false;
         }
-        return bucket(build)[rollout.countedByRoute() ? rq.row.at : 0] >= 1;
+        return bucket(build)[lane(rq.row)] >= 1;
+    }
+
+    /** Where a key can't go back, the trial keeps to a part of the keys, so that their later reqs still have room. */
+    private boolean oneWayKey(Rq rq, int build) {
+        double ready = 0;
+        double own = 0;
+        for (Pod p : pods.values()) {
+            ready += p.is.state() == PodEntry.State.READY ? 1 : 0;
+            own += p.is.state() == PodEntry.State.READY && p.is.build() == build ? 1 : 0;
+        }
+        double part = Math.min(ONE_WAY_PART * capOf(build), own / ready);
+        return answeredBy.getOrDefault(rq.is.key(), 0) == build
+                || new SplittableRandom(rq.is.key()).nextDouble() < part;
     }
 
     // ---- Judging the build.
@@ -670,12 +624,10 @@
             return;
         }
         boolean judged = t.build() == news.build();
-        if (!judged) {
-            referenceNs = now;
-        }
+        referenceNs = judged ? referenceNs : now;
         // Once the earlier pods have gone, the load on the rest has changed and there is no telling what is late.
-        boolean noReference = now - referenceNs > SECOND;
-        boolean late = tookNs > row.lateNs && !(judged && noReference);
+        boolean reference = now - referenceNs <= SECOND;
+        boolean late = tookNs > row.lateNs && (!judged || reference);
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
         for (int i : new int[] {row.at, rows.size()}) {
             Shown s = (judged ? trial : earlier)[i];
@@ -684,14 +636,14 @@
             s.late.add(now, late ? 1 : 0);
             s.all++;
         }
-        if (ending == Ending.OK && (!judged || noReference && news.phase() == News.Phase.RELEASED)) {
+        if (ending == Ending.OK && (!judged || !reference && news.phase() == News.Phase.RELEASED)) {
             row.lateNs *= tookNs > row.lateNs ? 1 + LATE_STEP * LATE_QUANTILE : 1 - LATE_STEP * (1 - LATE_QUANTILE);
         }
     }
 
-    public void flagged(long now, String podId, String route, long ageNs) {
+    public void flagged(long now, String podId, String route) {
         Pod p = pods.get(podId);
-        if (p == null || news == null || p.is.build() > news.build()) {
+        if (p == null || news == null || p.is.build() > news.build() || rollout.complaintShare() <= 0) {
             return;
         }
         for (int i : new int[] {rows.get(route).at, rows.size()}) {
@@ -700,123 +652,89 @@
         }
     }
 
-    public void tally(long now, Tally t) {
-    }
-
     private void judge(long now) {
         State worst = State.NORMAL;
+        String why = "";
         for (int i = 0; i < detectors.length; i++) {
             Detector d = detectors[i];
-            Shown was = earlier[i / 2];
-            Shown is = trial[i / 2];
             boolean ofLate = i % 2 == 1;
-            if (state == State.NORMAL && was.ended.read(now) >= REFERENCE_FLOOR) {
-                d.learn(was.share(now, ofLate));
+            if (state == State.NORMAL && earlier[i / 2].ended.read(now) >= REFERENCE_FLOOR) {
+                d.learn(earlier[i / 2].share(now, ofLate));
             }
-            double n = is.ended.read(now);
-            if (is.all >= OUTCOME_FLOOR && n >= 1 && d.samples > 0) {
-                d.judge(is.share(now, ofLate), n);
+            Shown is = trial[i / 2];
+            if (is.all >= OUTCOME_FLOOR && is.ended.read(now) >= 1 && d.samples > 0) {
+                d.judge(is.share(now, ofLate), is.ended.read(now));
+            }
+            if (d.state.ordinal() > worst.ordinal()) {
+                worst = d.state;
+                why = String.format(", %s %.2f against %.2f", ofLate ? "late" : "failed or flagged", d.recent, d.mean);
             }
-            worst = d.state.ordinal() > worst.ordinal() ? d.state : worst;
         }
         if (worst != state) {
-            host.log("build " + news.build() + " stage " + news.stage() + ": " + state + " to " + worst + why(now));
+            host.log("build " + news.build() + " stage " + news.stage() + ": " + state + " to " + worst + why);
         }
         state = worst;
     }
 
-    private String why(long now) {
-        StringBuilder b = new StringBuilder();
-        for (int i = 0; i < detectors.length; i++) {
-            if (detectors[i].state != State.NORMAL) {
-                b.append(i % 2 == 1 ? ", late" : ", failed").append(i / 2 < rows.size() ? " on one route" : " overall")
-                        .append(String.format(" %.2f against %.2f of %d", detectors[i].recent, detectors[i].mean,
-                                trial[i / 2].all));
-            }
-        }
-        return b.toString();
-    }
-
     // ---- News and votes.
 
-    public void news(long now, News.Answer answer, News told) {
-        if (told != null) {
-            boolean otherBuild = news == null || news.build() != told.build();
-            if (otherBuild && news != null) {
-                // What was released is the earlier build from now on; what was taken off never was.
-                earlier = news.phase() == News.Phase.RELEASED ? trial : earlier;
-                trial = shown();
-                state = State.NORMAL;
-                for (Detector d : detectors) {
-                    d.state = State.NORMAL;
-                    d.recent = d.mean;
-                }
-            }
-            if (otherBuild || news.stage() != told.stage() || news.phase() != told.phase()) {
-                host.log("build " + told.build() + " stage " + told.stage() + " " + told.phase());
-                standing = Verdict.NONE;
-                wanted = Verdict.NONE;
-            }
-            news = told;
-            stageSinceNs = now - told.ageNs();
-        }
-        if (answer != News.Answer.NEWS) {
-            if (answer == News.Answer.OK && asked != null) {
-                standing = asked;
-                standingStage = news.stage();
-                standingUntilNs = votedNs + rollout.voteStandsNs();
-            } else {
-                long wait = answer == News.Answer.MOOT ? SECOND : 400 * MS;
-                voteAgainNs = now + wait + random.nextLong(wait);
+    public void news(long now, News told) {
+        if (news == null || news.build() != told.build()) {
+            // What was released is the earlier build from now on; what was taken off never was.
+            earlier = news != null && news.phase() == News.Phase.RELEASED ? trial : earlier;
+            trial = shown();
+            state = State.NORMAL;
+            for (Detector d : detectors) {
+                d.state = State.NORMAL;
+                d.recent = d.mean;
             }
-            asked = null;
         }
+        if (news == null || news.build() != told.build() || news.stage() != told.stage()
+                || news.phase() != told.phase()) {
+            host.log("build " + told.build() + " stage " + told.stage() + " " + told.phase());
+            standing = Verdict.NONE;
+            wanted = Verdict.NONE;
+        }
+        news = told;
+        stageSinceNs = now - told.ageNs();
         vote(now);
         serveLines(now);
     }
 
-    private Verdict verdict(long now) {
-        boolean trialNow = news.phase() == News.Phase.ON_TRIAL;
-        if (!trialNow && news.phase() != News.Phase.RELEASED) {
-            return Verdict.NONE;
+    /** A vote that got no good answer may count or not: it is cast again after a pause, not all sidecars at once. */
+    public void voteAnswered(long now, boolean counts) {
+        if (counts && asked != null) {
+            standing = asked;
+            standingUntilNs = votedNs + rollout.voteStandsNs();
+        } else {
+            voteAgainNs = now + SECOND / 2 + random.nextLong(SECOND);
         }
-        if (state == State.ALARM) {
+        asked = null;
+    }
+
+    private Verdict verdict(long now) {
+        boolean onTrial = news.phase() == News.Phase.ON_TRIAL;
+        if (state == State.ALARM && (onTrial || news.phase() == News.Phase.RELEASED)) {
             return Verdict.BACK;
         }
-        if (!trialNow) {
-            return Verdict.NONE;
-        }
-        if (rollout.control() == Control.CLOCKED) {
-            return state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
+        if (!onTrial || rollout.control() == Control.CLOCKED) {
+            return onTrial && state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
         }
         long age = now - stageSinceNs;
-        boolean last = news.stage() == rollout.shares().size() - 1;
         // The last 'on' takes the earlier pods away: it waits for proof, though not for ever.
-        boolean proven = !last || trial[rows.size()].all >= PROOF || age > PROOF_WAIT;
+        boolean proven = news.stage() < rollout.shares().size() - 1 || trial[rows.size()].all >= PROOF
+                || age > PROOF_WAIT;
         return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
     }
 
     private void vote(long now) {
-        if (news == null) {
-            return;
-        }
         Verdict v = verdict(now);
-        if (v != wanted) {
-            wanted = v;
-            wantedSinceNs = now;
-        }
-        if (asked != null && now < votedNs + rollout.voteWaitNs() + SECOND || now < voteAgainNs) {
-            return;
-        }
-        boolean stands = standing == v && standingStage == news.stage();
-        if (stands && (v == Verdict.NONE || now < standingUntilNs - rollout.voteStandsNs() / 4)) {
-            return;
-        }
-        if (v == Verdict.NONE && now >= standingUntilNs) {
-            standing = Verdict.NONE;
-            return;
-        }
-        if (v != Verdict.NONE && now < wantedSinceNs + standInAfter(v)) {
+        wantedSinceNs = v == wanted ? wantedSinceNs : now;
+        wanted = v;
+        boolean waits = asked != null && now < votedNs + rollout.voteWaitNs() + SECOND || now < voteAgainNs;
+        Verdict stands = now < standingUntilNs ? standing : Verdict.NONE;
+        boolean renew = v != Verdict.NONE && now >= standingUntilNs - rollout.voteStandsNs() / 4;
+        if (waits || v == stands && !renew || v != Verdict.NONE && now < wantedSinceNs + standInAfter(v)) {
             return;
         }
         asked = v;
@@ -831,10 +749,9 @@
             case MAJORITY -> v == Verdict.ON ? rollout.onVotes() : rollout.backVotes();
             case CLOCKED -> v == Verdict.HOLD ? rollout.holdVotes() : rollout.backVotes();
         };
-        long mine = hash(set.rank());
         int before = 0;
         for (int i = 0; i < set.sidecars(); i++) {
-            before += hash(i) < mine ? 1 : 0;
+            before += hash(i) < hash(set.rank()) ? 1 : 0;
         }
         return Math.max(0, before - voters + 1) * STAND_IN_AFTER;
     }
@@ -846,21 +763,25 @@
     // ---- Time.
 
     public void timer(long now, String token) {
-        if (token.equals("sample")) {
-            host.timer(now + SECOND, "sample");
-            if (news != null) {
-                judge(now);
-                vote(now);
+        switch (token) {
+            case "sample" -> {
+                host.timer(now + SECOND, token);
+                if (news != null) {
+                    judge(now);
+                    vote(now);
+                }
             }
-            if (set.listMustBeAsked() && now >= askAgainNs && (!watching || askedNs == 0)) {
-                askForList(now);
+            case "tick" -> {
+                host.timer(now + TICK, token);
+                makeRoom(now);
+                if (set.limits().cancel()) {
+                    rescue(now);
+                }
+                if (set.listMustBeAsked() && !watching && now >= askAgainNs) {
+                    askForList(now);
+                }
             }
-        } else if (token.equals("rescue")) {
-            host.timer(now + RESCUE_TICK, "rescue");
-            rescue(now);
-            makeRoom(now);
-        } else if (now >= wakeNs) {
-            wakeNs = 0;
+            default -> wakeNs = now >= wakeNs ? 0 : wakeNs;
         }
         serveLines(now);
     }
@@ -871,7 +792,4 @@
             host.timer(atNs, "wake");
         }
     }
-
-    public void probed(long now, String podId, Ending ending, long tookNs, LoadReport report) {
-    }
 }
--- a/src/main/java/mulleinlever/Rq.java
+++ b/src/main/java/mulleinlever/Rq.java
@@ -23,8 +23,4 @@
         this.arrivedNs = nowNs;
         this.dueNs = nowNs + is.expiresInNs();
     }
-
-    boolean ran() {
-        return neverRan < tries.size();
-    }
 }
--- a/src/main/java/mulleinlever/drill/Drill.java
+++ b/src/main/java/mulleinlever/drill/Drill.java
@@ -11,12 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import mulleinlever.Ending;
-import mulleinlever.LoadReport;
 import mulleinlever.News;
 import mulleinlever.PodEntry;
 import mulleinlever.Policy;
 import mulleinlever.Req;
-import mulleinlever.Tally;
 
 /** The bench's wire: what is read becomes calls on the sidecars' policies, their answers become messages. */
 public final class Drill {
@@ -124,18 +122,16 @@
             case "NEW_REQUEST" -> policy.req(now, new Req(l.text("ticket"), l.text("cls"), l.flag("repeat", false),
                     l.flag("isWrite", false), l.whole("expiresInNs"), l.whole("workNs", 0), l.whole("item", -1),
                     tenant(l)));
-            case "ECHO" -> policy.probed(now, l.text("pod"), ending(l), l.whole("rttNs", 0), report(l));
-            case "HEAD_RECEIVED" -> policy.streamBegan(now, l.text("ticket"), l.count("sendNo"), l.text("pod"));
-            case "PEER_DATA" -> l.whole("srcPeer");
+            case "HEAD_RECEIVED" -> policy.streamBegan(now, l.text("ticket"));
             case "PROMOTION" -> news(policy, l);
             case "CLIENT_GONE" -> policy.clientGone(now, l.text("ticket"));
-            case "PLATFORM_SAW" -> policy.tally(now, new Tally(l.count("buildNo"), l.text("cls"), l.count("n"),
-                    l.count("failed"), l.whole("rttNs", 0), l.whole("ageNs", 0)));
+            // The module asks for no probes and no peers' messages, and judges by its own outcomes.
+            case "ECHO", "PEER_DATA", "PLATFORM_SAW" -> { }
             case "ELAPSED" -> policy.timer(now, l.text("nonce"));
             case "DETACH" -> running.remove(about);
-            case "DISPUTED" -> policy.flagged(now, l.text("pod"), l.text("cls"), l.whole("ageNs", 0));
-            default -> policy.tryEnded(now, l.text("ticket"), l.count("sendNo"), l.text("pod"), ending(l),
-                    l.whole("rttNs", 0), l.flag("complete", false), report(l));
+            case "DISPUTED" -> policy.flagged(now, l.text("pod"), l.text("cls"));
+            default -> policy.tryEnded(now, l.text("ticket"), l.count("sendNo"), ending(l), l.whole("rttNs", 0),
+                    l.flag("complete", false));
         }
     }
 
@@ -173,21 +169,18 @@
     }
 
     private void news(Policy policy, Line l) {
-        News.Answer answer = News.Answer.NEWS;
-        News.Answer ending = l.has("ending") ? l.word("ending", News.Answer.class) : News.Answer.OK;
+        boolean ok = l.text("ending", "ok").equals("ok");
         if (l.whole("how", 0) == 1) {
-            answer = ending;
+            policy.voteAnswered(now, ok);
         }
-        News news = null;
-        if (ending == News.Answer.OK) {
+        if (ok) {
             int phase = l.count("whereAt");
             if (phase < 0 || phase >= PHASES.length) {
                 throw l.bad("needs 0 to 3 in whereAt");
             }
-            news = new News(l.count("buildNo"), l.count("step"), PHASES[phase], l.number("exposure", 0),
-                    l.whole("ageNs", 0));
+            policy.news(now, new News(l.count("buildNo"), l.count("step"), PHASES[phase], l.number("exposure", 0),
+                    l.whole("ageNs", 0)));
         }
-        policy.news(now, answer, news);
     }
 
     private static Ending ending(Line l) {
@@ -198,31 +191,4 @@
         String name = l.text("owner", "0");
         return name.equals("0") ? null : name;
     }
-
-    private static LoadReport report(Line l) {
-        String pairs = l.text("serverStats", "");
-        if (pairs.isEmpty()) {
-            return null;
-        }
-        double[] v = {Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN};
-        for (String pair : pairs.split(",")) {
-            int colon = pair.indexOf(':');
-            if (colon < 0) {
-                throw l.bad("needs name:value pairs in serverStats");
-            }
-            int at = switch (pair.substring(0, colon)) {
-                case "concurrent" -> 0;
-                case "depth" -> 1;
-                case "load_share" -> 2;
-                case "mean_ms" -> 3;
-                case "tps" -> 4;
-                case "err_ps" -> 5;
-                default -> -1;
-            };
-            if (at >= 0) {
-                v[at] = l.parseNumber("serverStats", pair.substring(colon + 1));
-            }
-        }
-        return new LoadReport(v[0], v[1], v[2], v[3], v[4], v[5]);
-    }
 }
