--- a/src/main/java/mulleinlever/Decay.java
+++ b/src/main/java/mulleinlever/Decay.java
@@ -2,6 +2,8 @@
 
 /** A sum that halves every half-life; it is brought up to date when it is read. */
 final class Decay {
+    private static final double LN_2 = Math.log(2);
+
     private final double halfLifeNs;
     private double sum;
     private long atNs;
@@ -16,14 +18,13 @@
 
     double read(long nowNs) {
         if (nowNs > atNs) {
-            sum *= Math.exp(-0.6931471805599453 * (nowNs - atNs) / halfLifeNs);
+            sum *= Math.exp(-LN_2 * (nowNs - atNs) / halfLifeNs);
             atNs = nowNs;
         }
         return sum;
     }
 
-    /** What the sum would stand at, were one added every second: the divisor that makes a rate of it. */
-    double secondsHeld() {
-        return halfLifeNs / 0.6931471805599453 / 1e9;
+    double perSecond(long nowNs) {
+        return read(nowNs) * LN_2 * 1e9 / halfLifeNs;
     }
 }
--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -11,16 +11,16 @@
     int strikes;
     long sickForNs;
     long sickUntilNs;
-    final Decay slowness;
-    final Decay ended;
+    final Mean slowness;
+    final Mean failures;
     final Decay completed;
     final ArrayDeque<Long> sentCold = new ArrayDeque<>();
 
     Pod(PodEntry is, long halfLifeNs) {
         this.id = is.id();
         this.is = is;
-        this.slowness = new Decay(halfLifeNs);
-        this.ended = new Decay(halfLifeNs);
+        this.slowness = new Mean(halfLifeNs);
+        this.failures = new Mean(halfLifeNs);
         this.completed = new Decay(halfLifeNs);
     }
 }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -42,6 +42,9 @@
     private static final double LATE_STEP = 0.04;
     /** Outcomes that the earlier build must have shown lately before its share is a sample. */
     private static final double REFERENCE_FLOOR = 5;
+    /** How many times slower than its build's middle pod a pod may be before it is no evidence on the build. */
+    private static final double STANDS_OUT = 2;
+    private static final double FAILURE_WEIGHT = 4;
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
@@ -105,8 +108,7 @@
     private final ArrayDeque<Rq> firstTries = new ArrayDeque<>();
     private final ArrayDeque<Rq> furtherTries = new ArrayDeque<>();
     private final Decay completed = new Decay(MEASURE_HALF_LIFE);
-    private final Decay ease = new Decay(SECOND);
-    private final Decay easeOf = new Decay(SECOND);
+    private final Mean ease = new Mean(SECOND);
     private double room = ROOM_FIRST;
     private int open;
     private boolean strained;
@@ -123,8 +125,8 @@
     private News news;
     private long stageSinceNs;
     private long referenceNs = Long.MIN_VALUE / 2;
-    private Shown[] earlier;
-    private Shown[] trial;
+    private Side earlier;
+    private Side trial;
     private final Detector[] detectors;
     private State state = State.NORMAL;
 
@@ -146,9 +148,9 @@
             row.lateNs = r.objectiveNs() / 2.0;
             rows.put(r.name(), row);
         }
-        earlier = shown();
-        trial = shown();
-        detectors = new Detector[2 * earlier.length];
+        earlier = new Side(rows.size(), SAMPLE_HALF_LIFE);
+        trial = new Side(rows.size(), SAMPLE_HALF_LIFE);
+        detectors = new Detector[2 * rows.size() + 2];
         Arrays.setAll(detectors, i -> new Detector());
         host.timer(now + SECOND, "sample");
         host.timer(now + TICK, "tick");
@@ -218,7 +220,7 @@
 
     /** By chance, the cheaper the more often: a full line would turn away the dear ones just as well. */
     private double shedChance(long now, Rq rq) {
-        double perNs = Math.max(1, completed.read(now) / completed.secondsHeld()) / SECOND;
+        double perNs = Math.max(1, completed.perSecond(now)) / SECOND;
         double pressure = firstTries.size() / perNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
         return Math.min(0.95, pressure * cheapness(now, rq.row));
     }
@@ -408,8 +410,7 @@
     }
 
     private double load(long now, Pod p) {
-        double load = (p.open + 1) * (p.slowness.read(now) + 2) / (p.ended.read(now) + 2);
-        return load / Math.max(0.01, p.is.weight()) * (set.prices().crossZone() > 0 && !near(p) ? FAR_LOAD : 1);
+        return (p.open + 1) * p.slowness.read(now, 1, 2) / Math.max(0.01, p.is.weight()) * (set.prices().crossZone() > 0 && !near(p) ? FAR_LOAD : 1);
     }
 
     /** What no rule forbids. */
@@ -431,7 +432,7 @@
     // ---- The pods' health, and the room for open tries.
 
     private double meanNs(long now, Row row) {
-        return (row.times.read(now) + row.is.objectiveNs() / 4.0) / (row.ended.read(now) + 1);
+        return row.times.read(now, row.is.objectiveNs() / 4.0, 1);
     }
 
     private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
@@ -440,12 +441,10 @@
         p.owesSinceNs = ending == Ending.TIMEOUT ? p.owesSinceNs : now;
         if (ok || ending == Ending.TIMEOUT) {
             p.slowness.add(now, tookNs / meanNs(now, row));
-            p.ended.add(now, 1);
             row.times.add(now, tookNs);
-            row.ended.add(now, 1);
             ease.add(now, tookNs / (double) row.is.objectiveNs());
-            easeOf.add(now, 1);
         }
+        p.failures.add(now, ok ? 0 : 1);
         if (ok) {
             completed.add(now, 1);
             p.completed.add(now, 1);
@@ -491,7 +490,7 @@
 
     /** Fewer tries lie at the pods the longer answers take: what waits here can still be shed, or go elsewhere. */
     private void makeRoom(long now) {
-        double at = easeOf.read(now) < 1 ? 0 : ease.read(now) / easeOf.read(now);
+        double at = ease.read(now, 0, 1);
         strained = at > AT_EASE;
         if (strained) {
             long ready = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY).count();
@@ -530,7 +529,7 @@
         int n = 0;
         for (Pod p : pods.values()) {
             if (p.is.state() == PodEntry.State.READY && !cold(now, p) && p.is.kind().equals(cold.is.kind())) {
-                rate += p.completed.read(now) / p.completed.secondsHeld();
+                rate += p.completed.perSecond(now);
                 n++;
             }
         }
@@ -612,15 +611,10 @@
 
     // ---- Judging the build.
 
-    private Shown[] shown() {
-        Shown[] all = new Shown[rows.size() + 1];
-        Arrays.setAll(all, i -> new Shown(SAMPLE_HALF_LIFE));
-        return all;
-    }
-
-    /** An outcome as evidence; pods not yet warm when it was sent are left out. */
+    /** An outcome as evidence; pods not yet warm when it was sent are left out, and those that stand out. */
     private void weigh(long now, Row row, Try t, Ending ending, long tookNs) {
-        if (news == null || !t.warm() || t.build() > news.build() || ending == Ending.CONNECT_FAILED) {
+        if (news == null || !t.warm() || t.build() > news.build() || ending == Ending.CONNECT_FAILED
+                || standsOut(now, t.pod())) {
             return;
         }
         boolean judged = t.build() == news.build();
@@ -629,27 +623,33 @@
         boolean reference = now - referenceNs <= SECOND;
         boolean late = tookNs > row.lateNs && (!judged || reference);
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
-        for (int i : new int[] {row.at, rows.size()}) {
-            Shown s = (judged ? trial : earlier)[i];
-            s.ended.add(now, 1);
-            s.failed.add(now, failed ? 1 : 0);
-            s.late.add(now, late ? 1 : 0);
-            s.all++;
-        }
+        (judged ? trial : earlier).add(now, row.at, failed ? 1 : 0, late ? 1 : 0);
         if (ending == Ending.OK && (!judged || !reference && news.phase() == News.Phase.RELEASED)) {
             row.lateNs *= tookNs > row.lateNs ? 1 + LATE_STEP * LATE_QUANTILE : 1 - LATE_STEP * (1 - LATE_QUANTILE);
         }
     }
 
+    /** A pod far worse than most of its own build says something of itself, hung or slow, and not of the build. */
+    private boolean standsOut(long now, Pod pod) {
+        double[] worse = pods.values().stream()
+                .filter(p -> p.is.build() == pod.is.build() && p.is.state() == PodEntry.State.READY)
+                .mapToDouble(p -> badness(now, p)).sorted().toArray();
+        return worse.length > 1 && badness(now, pod) > STANDS_OUT * worse[(worse.length - 1) / 2];
+    }
+
+    private double badness(long now, Pod p) {
+        return silent(now, p) ? Double.POSITIVE_INFINITY
+                : p.slowness.read(now, 1, 2) * (1 + FAILURE_WEIGHT * p.failures.read(now, 0, 2));
+    }
+
     public void flagged(long now, String podId, String route) {
         Pod p = pods.get(podId);
         if (p == null || news == null || p.is.build() > news.build() || rollout.complaintShare() <= 0) {
             return;
         }
-        for (int i : new int[] {rows.get(route).at, rows.size()}) {
-            // One report stands for all the wrong answers that nobody reported.
-            (p.is.build() == news.build() ? trial : earlier)[i].failed.add(now, 1 / rollout.complaintShare());
-        }
+        // One report stands for all the wrong answers that nobody reported.
+        Side side = p.is.build() == news.build() ? trial : earlier;
+        side.addFailures(now, rows.get(route).at, 1 / rollout.complaintShare());
     }
 
     private void judge(long now) {
@@ -658,12 +658,12 @@
         for (int i = 0; i < detectors.length; i++) {
             Detector d = detectors[i];
             boolean ofLate = i % 2 == 1;
-            if (state == State.NORMAL && earlier[i / 2].ended.read(now) >= REFERENCE_FLOOR) {
-                d.learn(earlier[i / 2].share(now, ofLate));
+            if (state == State.NORMAL && earlier.lately(now, i / 2) >= REFERENCE_FLOOR) {
+                d.learn(earlier.share(now, i / 2, ofLate));
             }
-            Shown is = trial[i / 2];
-            if (is.all >= OUTCOME_FLOOR && is.ended.read(now) >= 1 && d.samples > 0) {
-                d.judge(is.share(now, ofLate), is.ended.read(now));
+            double n = trial.lately(now, i / 2);
+            if (trial.everEnded(i / 2) >= OUTCOME_FLOOR && n >= 1 && d.samples > 0) {
+                d.judge(trial.share(now, i / 2, ofLate), n);
             }
             if (d.state.ordinal() > worst.ordinal()) {
                 worst = d.state;
@@ -682,7 +682,7 @@
         if (news == null || news.build() != told.build()) {
             // What was released is the earlier build from now on; what was taken off never was.
             earlier = news != null && news.phase() == News.Phase.RELEASED ? trial : earlier;
-            trial = shown();
+            trial = new Side(rows.size(), SAMPLE_HALF_LIFE);
             state = State.NORMAL;
             for (Detector d : detectors) {
                 d.state = State.NORMAL;
@@ -722,7 +722,7 @@
         }
         long age = now - stageSinceNs;
         // The last 'on' takes the earlier pods away: it waits for proof, though not for ever.
-        boolean proven = news.stage() < rollout.shares().size() - 1 || trial[rows.size()].all >= PROOF
+        boolean proven = news.stage() < rollout.shares().size() - 1 || trial.everEnded(rows.size()) >= PROOF
                 || age > PROOF_WAIT;
         return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
     }
--- a/src/main/java/mulleinlever/Row.java
+++ b/src/main/java/mulleinlever/Row.java
@@ -4,14 +4,12 @@
 final class Row {
     final Settings.Route is;
     final int at;
-    final Decay times;
-    final Decay ended;
+    final Mean times;
     double lateNs;
 
     Row(Settings.Route is, int at, long halfLifeNs) {
         this.is = is;
         this.at = at;
-        this.times = new Decay(halfLifeNs);
-        this.ended = new Decay(halfLifeNs);
+        this.times = new Mean(halfLifeNs);
     }
 }
