Baseline learned outside trials; under usual load lateness on both builds counts

Cause: the long-term pair went on learning during trials, while too few outcomes kept the state normal, and its deviation grew until nothing could raise an alarm.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -33,7 +33,7 @@
     private static final int VOTERS = 3;
 
     /** Low enough that a trial's first seconds hardly move it, high enough to be learned early in a day. */
-    private static final double LONG_WEIGHT = 0.05;
+    private static final double LONG_WEIGHT = 0.02;
     /** The sample is itself a sum over some seconds, so that one second of thin traffic raises no alarm. */
     private static final double SHORT_WEIGHT = 0.5;
     private static final long SAMPLE_HALF_LIFE = 6 * SECOND;
@@ -45,6 +45,8 @@
     /** How many times slower than its build's middle pod a pod may be before it is no evidence on the build. */
     private static final double STANDS_OUT = 2;
     private static final double FAILURE_WEIGHT = 4;
+    /** How much more than usual the pods must have to do before lateness on both builds is put down to that. */
+    private static final double MORE_LOAD = 1.15;
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
@@ -77,7 +79,7 @@
         double mean;
         double deviation;
         double recent;
-        int samples;
+        double samples;
         State state = State.NORMAL;
 
         void learn(double sample) {
@@ -112,6 +114,9 @@
     private double room = ROOM_FIRST;
     private int open;
     private boolean strained;
+    private final Decay sent = new Decay(MEASURE_HALF_LIFE);
+    private final Mean usualLoad = new Mean(2 * MEASURE_HALF_LIFE);
+    private final Mean usedToStrain = new Mean(2 * MEASURE_HALF_LIFE);
     private long wakeNs;
 
     private boolean watching;
@@ -124,7 +129,6 @@
 
     private News news;
     private long stageSinceNs;
-    private long referenceNs = Long.MIN_VALUE / 2;
     private Side earlier;
     private Side trial;
     private final Detector[] detectors;
@@ -152,6 +156,11 @@
         trial = new Side(rows.size(), SAMPLE_HALF_LIFE);
         detectors = new Detector[2 * rows.size() + 2];
         Arrays.setAll(detectors, i -> new Detector());
+        for (int i = 1; i < detectors.length; i += 2) {
+            // What is late is so defined that the earlier build's share is known before any is seen.
+            detectors[i].mean = 1 - LATE_QUANTILE;
+            detectors[i].samples = 1 / LONG_WEIGHT;
+        }
         host.timer(now + SECOND, "sample");
         host.timer(now + TICK, "tick");
         if (set.listMustBeAsked()) {
@@ -287,6 +296,7 @@
         if (cold) {
             pod.sentCold.add(now);
         }
+        sent.add(now, onTrial(t.build()) ? 0 : 1);
         if (onTrial(t.build())) {
             bucket(t.build())[lane(rq.row)]--;
         }
@@ -517,7 +527,7 @@
         }
         double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
-        return p.sentCold.size() + 1 <= Math.max(1, can * warmRate(now, p) * window / SECOND);
+        return p.sentCold.size() + 1 <= Math.max(1, 1.25 * can * warmRate(now, p) * window / SECOND + 0.5);
     }
 
     /**
@@ -618,15 +628,41 @@
             return;
         }
         boolean judged = t.build() == news.build();
-        referenceNs = judged ? referenceNs : now;
-        // Once the earlier pods have gone, the load on the rest has changed and there is no telling what is late.
-        boolean reference = now - referenceNs <= SECOND;
-        boolean late = tookNs > row.lateNs && (!judged || reference);
+        boolean late = tookNs > row.lateNs;
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
         (judged ? trial : earlier).add(now, row.at, failed ? 1 : 0, late ? 1 : 0);
-        if (ending == Ending.OK && (!judged || !reference && news.phase() == News.Phase.RELEASED)) {
-            row.lateNs *= tookNs > row.lateNs ? 1 + LATE_STEP * LATE_QUANTILE : 1 - LATE_STEP * (1 - LATE_QUANTILE);
+        // Not learned while a trial is on: a build that slows down its neighbours too would be forgiven.
+        if (ending == Ending.OK && news.phase() != News.Phase.ON_TRIAL
+                && judged == (news.phase() == News.Phase.RELEASED)) {
+            double step = Math.max(LATE_STEP, 1.0 / (4 + row.lateSeen++));
+            row.lateNs *= tookNs > row.lateNs ? 1 + step * LATE_QUANTILE : 1 - step * (1 - LATE_QUANTILE);
+        }
+    }
+
+    /**
+     * The trial's share, less what the earlier build's has shifted by as well: a burst or a lost zone is not the
+     * build's doing. But where the pods have no more to do than before, lateness on both is the build's: it slows
+     * all, and both are counted.
+     */
+    private double sample(long now, int place, boolean ofLate, Detector d) {
+        double share = trial.share(now, place, ofLate);
+        boolean reference = earlier.lately(now, place) >= OUTCOME_FLOOR;
+        double shift = reference ? earlier.share(now, place, ofLate) - d.mean : 0;
+        boolean ambient = usedToStrain.read(now, 0, 1) > 0.2 || loadNow(now) > MORE_LOAD * usualLoad.read(now, 0, 1e-9);
+        double apart = Math.max(0, Math.min(1, share - (ofLate ? shift : Math.max(0, shift))));
+        if (!ofLate || ambient || !reference) {
+            return apart;
         }
+        double n = trial.lately(now, place);
+        double all = n + earlier.lately(now, place);
+        return Math.max(apart, (n * share + (all - n) * earlier.share(now, place, true)) / all);
+    }
+
+    /** What this sidecar sends a second to each fit pod that is not on trial. */
+    private double loadNow(long now) {
+        long fit = pods.values().stream()
+                .filter(p -> p.is.state() == PodEntry.State.READY && !onTrial(p.is.build()) && fit(now, p)).count();
+        return sent.perSecond(now) / Math.max(1, fit);
     }
 
     /** A pod far worse than most of its own build says something of itself, hung or slow, and not of the build. */
@@ -658,12 +694,17 @@
         for (int i = 0; i < detectors.length; i++) {
             Detector d = detectors[i];
             boolean ofLate = i % 2 == 1;
-            if (state == State.NORMAL && earlier.lately(now, i / 2) >= REFERENCE_FLOOR) {
-                d.learn(earlier.share(now, i / 2, ofLate));
+            boolean onTrial = news.phase() == News.Phase.ON_TRIAL;
+            Side steady = news.phase() == News.Phase.RELEASED ? trial : earlier;
+            // Below the outcome floor all looks normal, so no trial's time is learned from: what slows its neighbours
+            // would be taken for theirs.
+            if (state == State.NORMAL && !onTrial && steady.lately(now, i / 2) >= REFERENCE_FLOOR) {
+                d.learn(steady.share(now, i / 2, ofLate));
             }
             double n = trial.lately(now, i / 2);
-            if (trial.everEnded(i / 2) >= OUTCOME_FLOOR && n >= 1 && d.samples > 0) {
-                d.judge(trial.share(now, i / 2, ofLate), n);
+            // A release takes pods away: what is late after it says nothing of the build.
+            if (trial.everEnded(i / 2) >= OUTCOME_FLOOR && n >= 1 && (onTrial || !ofLate)) {
+                d.judge(sample(now, i / 2, ofLate, d), n);
             }
             if (d.state.ordinal() > worst.ordinal()) {
                 worst = d.state;
@@ -681,7 +722,8 @@
     public void news(long now, News told) {
         if (news == null || news.build() != told.build()) {
             // What was released is the earlier build from now on; what was taken off never was.
-            earlier = news != null && news.phase() == News.Phase.RELEASED ? trial : earlier;
+            earlier = news != null && news.phase() == News.Phase.RELEASED
+                    ? new Side(rows.size(), SAMPLE_HALF_LIFE) : earlier;
             trial = new Side(rows.size(), SAMPLE_HALF_LIFE);
             state = State.NORMAL;
             for (Detector d : detectors) {
@@ -767,6 +809,10 @@
             case "sample" -> {
                 host.timer(now + SECOND, token);
                 if (news != null) {
+                    if (news.phase() != News.Phase.ON_TRIAL) {
+                        usualLoad.add(now, loadNow(now));
+                        usedToStrain.add(now, strained ? 1 : 0);
+                    }
                     judge(now);
                     vote(now);
                 }
--- a/src/main/java/mulleinlever/Row.java
+++ b/src/main/java/mulleinlever/Row.java
@@ -6,6 +6,7 @@
     final int at;
     final Mean times;
     double lateNs;
+    int lateSeen;
 
     Row(Settings.Route is, int at, long halfLifeNs) {
         this.is = is;
