Called-back tries count as late, shorter fresh time, longer memory of the trial

Cause: slow pods looked silent, their tries were called back and left out of the sample; most trial pods were fresh, so a last stage had twenty outcomes.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -36,7 +36,7 @@
     private static final double LONG_WEIGHT = 0.02;
     /** The sample is itself a sum over some seconds, so that one second of thin traffic raises no alarm. */
     private static final double SHORT_WEIGHT = 0.5;
-    private static final long SAMPLE_HALF_LIFE = 6 * SECOND;
+    private static final long SAMPLE_HALF_LIFE = 10 * SECOND;
     /** A try is late above this quantile of what the earlier build takes: lower drowns in noise, higher is rare. */
     private static final double LATE_QUANTILE = 0.8;
     private static final double LATE_STEP = 0.04;
@@ -46,7 +46,9 @@
     private static final double STANDS_OUT = 2;
     private static final double FAILURE_WEIGHT = 4;
     /** How much more than usual the pods must have to do before lateness on both builds is put down to that. */
-    private static final double MORE_LOAD = 1.15;
+    private static final double MORE_LOAD = 1.25;
+    /** The part of the longest warming time in which a pod's outcomes say more of its cold than of its build. */
+    private static final double FRESH_PART = 0.7;
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
@@ -286,7 +288,8 @@
             return false;
         }
         boolean cold = cold(now, pod);
-        Try t = new Try(pod, now, !cold, pod.is.build());
+        boolean fresh = now < pod.is.startedNs() + FRESH_PART * set.rules().warmAfterNs();
+        Try t = new Try(pod, now, !fresh, pod.is.build());
         rq.tries.add(t);
         rq.out++;
         rq.calledBack = false;
@@ -332,6 +335,9 @@
         }
         if (ending != Ending.MOOT && ending != Ending.CANCELLED) {
             measure(now, rq.row, t, ending, tookNs);
+        }
+        // A try called back late was late: else a slow build would hide behind the rescue of its reqs.
+        if (ending != Ending.MOOT && (ending != Ending.CANCELLED || tookNs > rq.row.lateNs)) {
             weigh(now, rq.row, t, ending, tookNs);
         }
         if (ending == Ending.OK && rollout.oneWay() && rq.is.key() >= 0) {
