Rates made good for sums that began lately; a release's faults are not its own measure

Cause: the usual load was read from a sum still filling up, so every trial looked loaded and a build that slows all pods was never seen.

--- a/src/main/java/mulleinlever/Decay.java
+++ b/src/main/java/mulleinlever/Decay.java
@@ -7,12 +7,14 @@
     private final double halfLifeNs;
     private double sum;
     private long atNs;
+    private long firstNs = Long.MIN_VALUE;
 
     Decay(long halfLifeNs) {
         this.halfLifeNs = halfLifeNs;
     }
 
     void add(long nowNs, double x) {
+        firstNs = firstNs == Long.MIN_VALUE ? nowNs : firstNs;
         sum = read(nowNs) + x;
     }
 
@@ -24,7 +26,12 @@
         return sum;
     }
 
+    /** The rate behind the sum; one that began lately has had no time to fill up, which is made good. */
     double perSecond(long nowNs) {
-        return read(nowNs) * LN_2 * 1e9 / halfLifeNs;
+        if (firstNs == Long.MIN_VALUE) {
+            return 0;
+        }
+        double sinceNs = Math.max(1e9, nowNs - firstNs);
+        return read(nowNs) * LN_2 * 1e9 / halfLifeNs / (1 - Math.exp(-LN_2 * sinceNs / halfLifeNs));
     }
 }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -701,10 +701,11 @@
             Detector d = detectors[i];
             boolean ofLate = i % 2 == 1;
             boolean onTrial = news.phase() == News.Phase.ON_TRIAL;
-            Side steady = news.phase() == News.Phase.RELEASED ? trial : earlier;
             // Below the outcome floor all looks normal, so no trial's time is learned from: what slows its neighbours
-            // would be taken for theirs.
-            if (state == State.NORMAL && !onTrial && steady.lately(now, i / 2) >= REFERENCE_FLOOR) {
+            // would be taken for theirs. Nor a release's: its faults would become the measure of themselves.
+            boolean only = news.phase() == News.Phase.RELEASED && earlier.everEnded(rows.size()) == 0;
+            Side steady = only ? trial : earlier;
+            if (state == State.NORMAL && !onTrial && (only || news.phase() != News.Phase.RELEASED) && steady.lately(now, i / 2) >= REFERENCE_FLOOR) {
                 d.learn(steady.share(now, i / 2, ofLate));
             }
             double n = trial.lately(now, i / 2);
