--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -13,6 +13,7 @@
     long sickUntilNs;
     final Mean slowness;
     final Mean failures;
+    final Mean late;
     final Decay completed;
     final ArrayDeque<Long> sentCold = new ArrayDeque<>();
 
@@ -21,6 +22,7 @@
         this.is = is;
         this.slowness = new Mean(halfLifeNs);
         this.failures = new Mean(halfLifeNs);
+        this.late = new Mean(2 * halfLifeNs);
         this.completed = new Decay(halfLifeNs);
     }
 }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -52,8 +52,13 @@
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
-    /** How long a later-ranked sidecar waits for each voter before it. */
-    private static final long STAND_IN_AFTER = 2 * SECOND;
+    private static final long EARLY_PROOF_WAIT = 4 * SECOND;
+    /** How long a build that was suspect must look normal before it gets an 'on'. */
+    private static final long CLEARED_FOR = 4 * SECOND;
+    private static final int FLAG_FLOOR = 3;
+    /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
+    private static final long STAND_IN_ON = 2 * SECOND;
+    private static final long STAND_IN_BACK = SECOND / 2;
 
     private static final long MEASURE_HALF_LIFE = 5 * SECOND;
     private static final long SICK_FOR = 500 * MS;
@@ -116,7 +121,8 @@
     private double room = ROOM_FIRST;
     private int open;
     private boolean strained;
-    private final Decay sent = new Decay(MEASURE_HALF_LIFE);
+    private long unsteadyUntilNs;
+    private final Decay sent = new Decay(2 * SECOND);
     private final Mean usualLoad = new Mean(2 * MEASURE_HALF_LIFE);
     private final Mean usedToStrain = new Mean(2 * MEASURE_HALF_LIFE);
     private long wakeNs;
@@ -135,6 +141,7 @@
     private Side trial;
     private final Detector[] detectors;
     private State state = State.NORMAL;
+    private long clearNs;
 
     private Verdict wanted = Verdict.NONE;
     private long wantedSinceNs;
@@ -629,12 +636,15 @@
 
     /** An outcome as evidence; pods not yet warm when it was sent are left out, and those that stand out. */
     private void weigh(long now, Row row, Try t, Ending ending, long tookNs) {
-        if (news == null || !t.warm() || t.build() > news.build() || ending == Ending.CONNECT_FAILED
-                || standsOut(now, t.pod())) {
+        if (news == null || !t.warm() || t.build() > news.build() || ending == Ending.CONNECT_FAILED) {
             return;
         }
         boolean judged = t.build() == news.build();
         boolean late = tookNs > row.lateNs;
+        t.pod().late.add(now, late ? 1 : 0);
+        if (standsOut(now, t.pod())) {
+            return;
+        }
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
         (judged ? trial : earlier).add(now, row.at, failed ? 1 : 0, late ? 1 : 0);
         // Not learned while a trial is on: a build that slows down its neighbours too would be forgiven.
@@ -647,21 +657,22 @@
 
     /**
      * The trial's share, less what the earlier build's has shifted by as well: a burst or a lost zone is not the
-     * build's doing. But where the pods have no more to do than before, lateness on both is the build's: it slows
-     * all, and both are counted.
+     * build's doing. But where the pods have no more to do than before and even the middle one is late, the build slows
+     * them all. By the middle pod, since hung, slow or pausing ones are the lesser part.
      */
     private double sample(long now, int place, boolean ofLate, Detector d) {
         double share = trial.share(now, place, ofLate);
         boolean reference = earlier.lately(now, place) >= OUTCOME_FLOOR;
         double shift = reference ? earlier.share(now, place, ofLate) - d.mean : 0;
-        boolean ambient = usedToStrain.read(now, 0, 1) > 0.2 || loadNow(now) > MORE_LOAD * usualLoad.read(now, 0, 1e-9);
         double apart = Math.max(0, Math.min(1, share - (ofLate ? shift : Math.max(0, shift))));
-        if (!ofLate || ambient || !reference) {
-            return apart;
-        }
-        double n = trial.lately(now, place);
-        double all = n + earlier.lately(now, place);
-        return Math.max(apart, (n * share + (all - n) * earlier.share(now, place, true)) / all);
+        boolean steady = now >= unsteadyUntilNs && usedToStrain.read(now, 0, 1) < 0.2;
+        return ofLate && steady && reference && place == rows.size() ? Math.max(apart, middleLate(now)) : apart;
+    }
+
+    private double middleLate(long now) {
+        double[] late = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY && !cold(now, p))
+                .mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
+        return late.length == 0 ? 0 : late[(late.length - 1) / 2];
     }
 
     /** What this sidecar sends a second to each fit pod that is not on trial. */
@@ -689,9 +700,10 @@
         if (p == null || news == null || p.is.build() > news.build() || rollout.complaintShare() <= 0) {
             return;
         }
-        // One report stands for all the wrong answers that nobody reported.
+        // One report stands for all the wrong answers that nobody reported; but the first few may all be mistaken.
         Side side = p.is.build() == news.build() ? trial : earlier;
-        side.addFailures(now, rows.get(route).at, 1 / rollout.complaintShare());
+        int counted = ++side.flags == FLAG_FLOOR ? FLAG_FLOOR : side.flags > FLAG_FLOOR ? 1 : 0;
+        side.addFailures(now, rows.get(route).at, counted / rollout.complaintShare());
     }
 
     private void judge(long now) {
@@ -722,6 +734,7 @@
             host.log("build " + news.build() + " stage " + news.stage() + ": " + state + " to " + worst + why);
         }
         state = worst;
+        clearNs = state == State.NORMAL ? clearNs : now + CLEARED_FOR;
     }
 
     // ---- News and votes.
@@ -770,10 +783,12 @@
             return onTrial && state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
         }
         long age = now - stageSinceNs;
-        // The last 'on' takes the earlier pods away: it waits for proof, though not for ever.
-        boolean proven = news.stage() < rollout.shares().size() - 1 || trial.everEnded(rows.size()) >= PROOF
-                || age > PROOF_WAIT;
-        return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
+        // Who has seen little waits, so that who has seen more speaks first; the last 'on' takes the earlier pods away.
+        boolean last = news.stage() == rollout.shares().size() - 1;
+        boolean proven = news.stage() == 0 || trial.everEnded(rows.size()) >= (last ? PROOF : OUTCOME_FLOOR)
+                || age > rollout.bakeNs() + (last ? PROOF_WAIT : EARLY_PROOF_WAIT);
+        return state == State.NORMAL && now >= clearNs && age >= rollout.bakeNs() && proven
+                ? Verdict.ON : Verdict.NONE;
     }
 
     private void vote(long now) {
@@ -802,7 +817,7 @@
         for (int i = 0; i < set.sidecars(); i++) {
             before += hash(i) < hash(set.rank()) ? 1 : 0;
         }
-        return Math.max(0, before - voters + 1) * STAND_IN_AFTER;
+        return Math.max(0, before - voters + 1) * (v == Verdict.BACK ? STAND_IN_BACK : STAND_IN_ON);
     }
 
     private long hash(int rank) {
@@ -816,6 +831,9 @@
             case "sample" -> {
                 host.timer(now + SECOND, token);
                 if (news != null) {
+                    if (loadNow(now) > MORE_LOAD * usualLoad.read(now, 0, 1e-9)) {
+                        unsteadyUntilNs = now + SAMPLE_HALF_LIFE;
+                    }
                     if (news.phase() != News.Phase.ON_TRIAL) {
                         usualLoad.add(now, loadNow(now));
                         usedToStrain.add(now, strained ? 1 : 0);
--- a/src/main/java/mulleinlever/Side.java
+++ b/src/main/java/mulleinlever/Side.java
@@ -9,6 +9,7 @@
     private final List<Mean> late = new ArrayList<>();
     private final List<Decay> ended = new ArrayList<>();
     private final int[] all;
+    int flags;
 
     Side(int routes, long halfLifeNs) {
         for (int i = 0; i <= routes; i++) {
