--- a/src/main/java/mulleinlever/Mean.java
+++ b/src/main/java/mulleinlever/Mean.java
@@ -15,11 +15,6 @@
         count.add(nowNs, 1);
     }
 
-    /** More of the same, without another count. */
-    void addTo(long nowNs, double x) {
-        sum.add(nowNs, x);
-    }
-
     double read(long nowNs, double lean, double leanCount) {
         return (sum.read(nowNs) + lean * leanCount) / (count.read(nowNs) + leanCount);
     }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -55,7 +55,7 @@
     private static final long EARLY_PROOF_WAIT = 4 * SECOND;
     /** How long a build that was suspect must look normal before it gets an 'on'. */
     private static final long CLEARED_FOR = 4 * SECOND;
-    private static final int FLAG_FLOOR = 3;
+    private static final double FLAG_FLOOR = 2.5;
     /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
     private static final long STAND_IN_ON = 2 * SECOND;
     private static final long STAND_IN_BACK = SECOND / 2;
@@ -646,7 +646,7 @@
             return;
         }
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
-        (judged ? trial : earlier).add(now, row.at, failed ? 1 : 0, late ? 1 : 0);
+        (judged ? trial : earlier).end(now, row.at, failed, late);
         // Not learned while a trial is on: a build that slows down its neighbours too would be forgiven.
         if (ending == Ending.OK && news.phase() != News.Phase.ON_TRIAL
                 && judged == (news.phase() == News.Phase.RELEASED)) {
@@ -661,9 +661,9 @@
      * them all. By the middle pod, since hung, slow or pausing ones are the lesser part.
      */
     private double sample(long now, int place, boolean ofLate, Detector d) {
-        double share = trial.share(now, place, ofLate);
-        boolean reference = earlier.lately(now, place) >= OUTCOME_FLOOR;
-        double shift = reference ? earlier.share(now, place, ofLate) - d.mean : 0;
+        double share = share(now, trial, place, ofLate);
+        boolean reference = earlier.ended(now, place) >= OUTCOME_FLOOR;
+        double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
         double apart = Math.max(0, Math.min(1, share - (ofLate ? shift : Math.max(0, shift))));
         boolean steady = now >= unsteadyUntilNs && usedToStrain.read(now, 0, 1) < 0.2;
         return ofLate && steady && reference && place == rows.size() ? Math.max(apart, middleLate(now)) : apart;
@@ -700,10 +700,15 @@
         if (p == null || news == null || p.is.build() > news.build() || rollout.complaintShare() <= 0) {
             return;
         }
-        // One report stands for all the wrong answers that nobody reported; but the first few may all be mistaken.
-        Side side = p.is.build() == news.build() ? trial : earlier;
-        int counted = ++side.flags == FLAG_FLOOR ? FLAG_FLOOR : side.flags > FLAG_FLOOR ? 1 : 0;
-        side.addFailures(now, rows.get(route).at, counted / rollout.complaintShare());
+        (p.is.build() == news.build() ? trial : earlier).flag(now, rows.get(route).at);
+    }
+
+    private double share(long now, Side side, int place, boolean ofLate) {
+        double flags = side.flags(now, place);
+        // One report stands for all the wrong answers that nobody reported; but a few may be mistaken.
+        double wrong = flags < FLAG_FLOOR ? 0 : flags / rollout.complaintShare();
+        double of = ofLate ? side.late(now, place) : side.failed(now, place) + wrong;
+        return Math.min(1, of / Math.max(1, side.ended(now, place)));
     }
 
     private void judge(long now) {
@@ -717,10 +722,10 @@
             // would be taken for theirs. Nor a release's: its faults would become the measure of themselves.
             boolean only = news.phase() == News.Phase.RELEASED && earlier.everEnded(rows.size()) == 0;
             Side steady = only ? trial : earlier;
-            if (state == State.NORMAL && !onTrial && (only || news.phase() != News.Phase.RELEASED) && steady.lately(now, i / 2) >= REFERENCE_FLOOR) {
-                d.learn(steady.share(now, i / 2, ofLate));
+            if (state == State.NORMAL && !onTrial && (only || news.phase() != News.Phase.RELEASED) && steady.ended(now, i / 2) >= REFERENCE_FLOOR) {
+                d.learn(share(now, steady, i / 2, ofLate));
             }
-            double n = trial.lately(now, i / 2);
+            double n = trial.ended(now, i / 2);
             // A release takes pods away: what is late after it says nothing of the build.
             if (trial.everEnded(i / 2) >= OUTCOME_FLOOR && n >= 1 && (onTrial || !ofLate)) {
                 d.judge(sample(now, i / 2, ofLate, d), n);
--- a/src/main/java/mulleinlever/Side.java
+++ b/src/main/java/mulleinlever/Side.java
@@ -5,45 +5,53 @@
 
 /** What one side, the build on trial or the earlier one, has shown lately: by route, and over all in the last place. */
 final class Side {
-    private final List<Mean> failed = new ArrayList<>();
-    private final List<Mean> late = new ArrayList<>();
     private final List<Decay> ended = new ArrayList<>();
-    private final int[] all;
-    int flags;
+    private final List<Decay> failed = new ArrayList<>();
+    private final List<Decay> late = new ArrayList<>();
+    private final List<Decay> flags = new ArrayList<>();
+    private final int[] ever;
 
     Side(int routes, long halfLifeNs) {
         for (int i = 0; i <= routes; i++) {
-            failed.add(new Mean(halfLifeNs));
-            late.add(new Mean(halfLifeNs));
             ended.add(new Decay(halfLifeNs));
+            failed.add(new Decay(halfLifeNs));
+            late.add(new Decay(halfLifeNs));
+            flags.add(new Decay(halfLifeNs));
         }
-        all = new int[routes + 1];
+        ever = new int[routes + 1];
     }
 
-    void add(long nowNs, int route, double failures, double lates) {
-        for (int i : new int[] {route, all.length - 1}) {
-            failed.get(i).add(nowNs, failures);
-            late.get(i).add(nowNs, lates);
+    void end(long nowNs, int route, boolean hasFailed, boolean wasLate) {
+        for (int i : new int[] {route, ever.length - 1}) {
             ended.get(i).add(nowNs, 1);
-            all[i]++;
+            failed.get(i).add(nowNs, hasFailed ? 1 : 0);
+            late.get(i).add(nowNs, wasLate ? 1 : 0);
+            ever[i]++;
         }
     }
 
-    /** More failures among what has ended already. */
-    void addFailures(long nowNs, int route, double failures) {
-        failed.get(route).addTo(nowNs, failures);
-        failed.get(all.length - 1).addTo(nowNs, failures);
+    void flag(long nowNs, int route) {
+        flags.get(route).add(nowNs, 1);
+        flags.get(ever.length - 1).add(nowNs, 1);
     }
 
-    double lately(long nowNs, int place) {
+    double ended(long nowNs, int place) {
         return ended.get(place).read(nowNs);
     }
 
-    int everEnded(int place) {
-        return all[place];
+    double failed(long nowNs, int place) {
+        return failed.get(place).read(nowNs);
+    }
+
+    double late(long nowNs, int place) {
+        return late.get(place).read(nowNs);
     }
 
-    double share(long nowNs, int place, boolean ofLate) {
-        return Math.min(1, (ofLate ? late : failed).get(place).read(nowNs, 0, 1e-9));
+    double flags(long nowNs, int place) {
+        return flags.get(place).read(nowNs);
+    }
+
+    int everEnded(int place) {
+        return ever[place];
     }
 }
