--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -268,9 +268,6 @@
     private void serveLines(long now) {
         serve(now, firstTries);
         serve(now, furtherTries);
-        if (!firstTries.isEmpty() || !furtherTries.isEmpty()) {
-            wake(now + LINE_TICK);
-        }
     }
 
     private void serve(long now, ArrayDeque<Rq> line) {
@@ -285,6 +282,7 @@
                 }
             } else {
                 misses++;
+                wake(Math.min(now + LINE_TICK, lastChance(now, rq)));
             }
         }
     }
--- /dev/null
+++ b/src/test/java/mulleinlever/RulesTest.java
@@ -0,0 +1,269 @@
+package mulleinlever;
+
+import static mulleinlever.Bench.MS;
+import static mulleinlever.Bench.S;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import mulleinlever.Settings.Control;
+import mulleinlever.Settings.Repeat;
+import mulleinlever.Settings.Scope;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A slow, plain model of the five rules beside the module on generated days. It keeps whole histories and looks through
+ * them at each send; it knows nothing of how the module keeps count.
+ */
+class RulesTest {
+    private record Out(String rq, int no, int build, long dueNs) { }
+
+    private record Told(long atNs, double cap) { }
+
+    private final Map<String, PodEntry> list = new HashMap<>();
+    private final Map<String, Long> goneSince = new HashMap<>();
+    private final Map<String, Req> taken = new HashMap<>();
+    private final Map<String, Long> takenAt = new HashMap<>();
+    private final Map<String, List<Bench.Sent>> tries = new HashMap<>();
+    private final Map<String, List<Ending>> endings = new HashMap<>();
+    private final Map<String, String> done = new HashMap<>();
+    private final Map<String, List<Long>> toCold = new HashMap<>();
+    private final Map<String, List<Long>> toWarm = new HashMap<>();
+    private long mostToWarm;
+    private final Map<Long, Integer> keyAt = new HashMap<>();
+    private final List<Object[]> exposed = new ArrayList<>();
+    private News news = new News(1, 2, News.Phase.RELEASED, 1, 0);
+    private final List<Told> caps = new ArrayList<>();
+    private final List<Out> outs = new ArrayList<>();
+    private Settings set;
+    private Bench bench;
+    private int seen;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+    void moduleKeepsTheRules(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Scope scope = Scope.values()[random.nextInt(3)];
+        set = Bench.settings(Control.values()[random.nextInt(3)], random.nextBoolean(), random.nextInt(2),
+                random.nextBoolean(), random.nextBoolean(),
+                List.of(Bench.route("r", Repeat.RETRIABLE, Scope.ALL), Bench.route("d", Repeat.DEDUPED, scope),
+                        Bench.route("n", Repeat.NON_RETRIABLE, Scope.ALL)));
+        bench = Bench.start(set, seed);
+        List<PodEntry> first = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            first.add(Bench.pod(i, 1, 0));
+        }
+        bench.policy.listRemembered(bench.now, first);
+        first.forEach(this::entry);
+        tell(news);
+        for (int step = 0; step < 2_000; step++) {
+            time();
+            happen(random, step);
+            check();
+        }
+        for (int step = 0; step < 400; step++) {
+            time();
+        }
+        assertTrue(taken.size() > 500 && exposed.size() > 20, "the day was too quiet to show anything");
+        taken.keySet().forEach(id -> assertTrue(done.containsKey(id), "no answer to " + id));
+    }
+
+    private void time() {
+        bench.pass(5 * MS);
+        check();
+        for (Out o : List.copyOf(outs)) {
+            if (bench.now >= o.dueNs) {
+                outs.remove(o);
+                bench.policy.tryEnded(bench.now, o.rq, o.no, Ending.TIMEOUT, 2 * S, done.containsKey(o.rq));
+                check();
+            }
+        }
+    }
+
+    private void happen(SplittableRandom random, int step) {
+        int reqs = random.nextInt(step / 400 % 2 == 0 ? 2 : 5);
+        for (int i = 0; i < reqs; i++) {
+            String route = List.of("r", "d", "n").get(random.nextInt(3));
+            Req rq = new Req(step + "." + i, route, false, false, (100 + random.nextInt(1_500)) * MS, 0,
+                    random.nextInt(60), null);
+            taken.put(rq.id(), rq);
+            takenAt.put(rq.id(), bench.now);
+            bench.policy.req(bench.now, rq);
+            check();
+        }
+        while (!outs.isEmpty() && (random.nextInt(4) > 0 || outs.size() > 40)) {
+            Out o = outs.remove(random.nextInt(outs.size()));
+            Ending ending = random.nextInt(10) > 2 ? Ending.OK : Ending.values()[random.nextInt(6)];
+            endings.get(o.rq).set(o.no, ending);
+            boolean complete = ending == Ending.OK || done.containsKey(o.rq);
+            if (ending == Ending.OK && !done.containsKey(o.rq)) {
+                done.put(o.rq, "ok");
+                keyAt.merge(taken.get(o.rq).key(), o.build, Math::max);
+            }
+            bench.policy.tryEnded(bench.now, o.rq, o.no, ending, (50 + random.nextInt(200)) * MS, complete);
+            check();
+        }
+        if (random.nextInt(300) == 0 && !outs.isEmpty()) {
+            String id = outs.get(0).rq;
+            done.put(id, "gone");
+            bench.policy.clientGone(bench.now, id);
+        }
+        if (random.nextInt(40) == 0) {
+            pods(random);
+        }
+        if (random.nextInt(150) == 0) {
+            rollout(random);
+        }
+        if (random.nextInt(200) == 0) {
+            bench.policy.listFailed(bench.now);
+        }
+        if (random.nextInt(30) == 0) {
+            bench.policy.voteAnswered(bench.now, random.nextBoolean());
+        }
+    }
+
+    private void pods(SplittableRandom random) {
+        int i = random.nextInt(14);
+        PodEntry e = Bench.pod(i, i < 8 ? 1 : news.build() + random.nextInt(2), bench.now - random.nextInt(500) * MS);
+        int what = random.nextInt(5);
+        if (what < 2 && list.containsKey(e.id())) {
+            PodEntry was = list.get(e.id());
+            e = new PodEntry(e.id(), e.zone(), e.kind(), e.cell(), was.build(),
+                    what == 0 ? PodEntry.State.DRAINING : PodEntry.State.GONE, 1, was.startedNs());
+        }
+        entry(e);
+        bench.policy.listChanged(bench.now, List.of(e));
+    }
+
+    private void rollout(SplittableRandom random) {
+        News.Phase phase = News.Phase.values()[random.nextInt(3)];
+        int build = news.phase() == News.Phase.ON_TRIAL || random.nextBoolean() ? news.build() : news.build() + 1;
+        int stage = random.nextInt(3);
+        double cap = phase == News.Phase.REVERTING ? 0 : set.rollout().caps().get(stage);
+        tell(new News(Math.max(2, build), stage, phase, cap, 0));
+    }
+
+    private void entry(PodEntry e) {
+        PodEntry was = list.put(e.id(), e);
+        if (e.state() == PodEntry.State.READY) {
+            goneSince.remove(e.id());
+        } else {
+            goneSince.putIfAbsent(e.id(), bench.now);
+        }
+        if (was == null || was.startedNs() != e.startedNs()) {
+            toCold.put(e.id(), new ArrayList<>());
+        }
+    }
+
+    private void tell(News n) {
+        if (n.build() != news.build()) {
+            caps.clear();
+        }
+        news = n;
+        caps.add(new Told(bench.now, n.cap()));
+        bench.policy.news(bench.now, n);
+    }
+
+    /** Looks at all that was sent or answered since the last look. */
+    private void check() {
+        bench.answers.forEach((id, what) -> {
+            if (!done.containsKey(id)) {
+                done.put(id, what);
+                Repeat repeat = repeatOf(id);
+                boolean mayHaveRun = endings.getOrDefault(id, List.of()).stream().anyMatch(e -> !e.neverRan());
+                assertTrue(bench.now <= takenAt.get(id) + taken.get(id).expiresInNs() + 20 * MS, "answered late");
+                assertFalse(what.equals("shed") && mayHaveRun && (repeat == Repeat.NON_RETRIABLE
+                        || repeat == Repeat.DEDUPED && set.routes().get(1).scope() != Scope.ALL), "shed may have run");
+            }
+        });
+        for (; seen < bench.sent.size(); seen++) {
+            sent(bench.sent.get(seen));
+        }
+    }
+
+    private Repeat repeatOf(String id) {
+        return set.routes().stream().filter(r -> r.name().equals(taken.get(id).route())).findFirst().get().repeat();
+    }
+
+    private void sent(Bench.Sent s) {
+        PodEntry pod = list.get(s.pod());
+        Req rq = taken.get(s.rq());
+        assertFalse(done.containsKey(s.rq()), "sent after the answer");
+        assertFalse(s.atNs() > goneSince.getOrDefault(s.pod(), Long.MAX_VALUE - S) + 500 * MS, "sent to a drained pod");
+        repeats(s, pod);
+        exposure(s, pod, rq);
+        if (s.atNs() < pod.startedNs() + set.rules().warmAfterNs()) {
+            List<Long> cold = toCold.get(s.pod());
+            cold.add(s.atNs());
+            long lately = cold.stream().filter(t -> t > s.atNs() - S).count();
+            double can = 0.3 + 0.7 * (s.atNs() - pod.startedNs()) / set.rules().warmAfterNs();
+            assertTrue(lately <= 2 + 2 * can * mostToWarm, "pushed over");
+        } else {
+            List<Long> warm = toWarm.computeIfAbsent(s.pod(), k -> new ArrayList<>());
+            warm.add(s.atNs());
+            mostToWarm = Math.max(mostToWarm, warm.stream().filter(t -> t > s.atNs() - S).count());
+        }
+        tries.computeIfAbsent(s.rq(), k -> new ArrayList<>()).add(s);
+        endings.computeIfAbsent(s.rq(), k -> new ArrayList<>()).add(Ending.TIMEOUT);
+        long due = Math.min(s.atNs() + s.limitNs(), takenAt.get(s.rq()) + rq.expiresInNs());
+        outs.add(new Out(s.rq(), endings.get(s.rq()).size() - 1, pod.build(), due));
+    }
+
+    private void repeats(Bench.Sent s, PodEntry pod) {
+        List<Bench.Sent> before = tries.getOrDefault(s.rq(), List.of());
+        assertTrue(before.size() < set.limits().maxTries(), "too many tries");
+        assertTrue(outs.stream().noneMatch(o -> o.rq.equals(s.rq())), "two tries out at once");
+        for (int i = 0; i < before.size(); i++) {
+            if (endings.get(s.rq()).get(i).neverRan()) {
+                continue;
+            }
+            assertTrue(repeatOf(s.rq()) != Repeat.NON_RETRIABLE, "ran twice");
+            if (repeatOf(s.rq()) == Repeat.DEDUPED) {
+                PodEntry ran = list.get(before.get(i).pod());
+                Scope scope = set.routes().get(1).scope();
+                assertTrue(scope == Scope.ALL || scope == Scope.ZONE && ran.zone().equals(pod.zone())
+                        || scope == Scope.CELL && ran.cell() == pod.cell(), "sent outside its group");
+                assertTrue(s.atNs() < before.get(i).atNs() + set.routes().get(1).dedupNs(), "sent too late to drop");
+                break;
+            }
+        }
+    }
+
+    private void exposure(Bench.Sent s, PodEntry pod, Req rq) {
+        boolean stands = news.phase() == News.Phase.ON_TRIAL || news.phase() == News.Phase.RELEASED;
+        if (set.rollout().oneWay() && stands) {
+            assertTrue(pod.build() >= keyAt.getOrDefault(rq.key(), 0), "a key went back");
+        }
+        boolean announced = pod.build() == news.build();
+        if (pod.build() < news.build() || announced && news.phase() == News.Phase.RELEASED) {
+            return;
+        }
+        double cap = announced ? news.cap() : set.rollout().caps().get(0);
+        int stage = announced ? news.stage() : 0;
+        assertTrue(cap > 0, "sent at cap 0");
+        assertTrue(stage >= set.rollout().shieldedStages() || rq.route().equals("r"), "sent through the shield");
+        exposed.add(new Object[] {s.atNs(), pod.build(), rq.route()});
+        // Each window that ends here, since the last change of the cap and no longer than the rule's.
+        long since = announced ? caps.get(caps.size() - 1).atNs() : 0;
+        for (Object[] from : exposed) {
+            long start = (long) from[0];
+            if (start < Math.max(since, s.atNs() - 3 * S) || (int) from[1] != pod.build()) {
+                continue;
+            }
+            long n = exposed.stream().filter(e -> (long) e[0] >= start && (int) e[1] == pod.build()
+                    && counts((String) e[2], rq.route())).count();
+            long of = taken.values().stream().filter(q -> takenAt.get(q.id()) >= start
+                    && counts(q.route(), rq.route())).count();
+            assertTrue(n <= set.rollout().uncounted() + cap * of + 1e-9, "exposed beyond the cap");
+        }
+    }
+
+    private boolean counts(String route, String sent) {
+        return !set.rollout().countedByRoute() || route.equals(sent);
+    }
+}
