--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -262,7 +262,10 @@
     private long lastChance(long now, Rq rq) {
         double objective = rq.row.is.objectiveNs();
         double wait = rq.tries.isEmpty() ? LINE_WAIT * objective : objective - meanNs(now, rq.row);
-        return Math.min(rq.arrivedNs + (long) wait, rq.dueNs - 2 * set.stepNs());
+        // Against a repeat that its pods no longer know for one: it may have waited here for long.
+        long dropped = rq.row.is.repeat() == Repeat.DEDUPED && rq.mayHaveRun != null
+                ? rq.mayHaveRun.sentNs() + rq.row.is.dedupNs() : rq.dueNs;
+        return Math.min(rq.arrivedNs + (long) wait, Math.min(dropped, rq.dueNs) - 2 * set.stepNs());
     }
 
     private void serveLines(long now) {
@@ -350,7 +353,7 @@
         }
         rq.answered |= complete || rq.streaming;
         if (!rq.answered && rq.out == 0) {
-            if (now < lastChance(now, rq) && mayGoAgain(now, rq)) {
+            if (mayGoAgain(now, rq)) {
                 join(now, rq);
             } else {
                 giveUp(now, rq);
@@ -361,9 +364,8 @@
     }
 
     private boolean mayGoAgain(long now, Rq rq) {
-        return rq.tries.size() < set.limits().maxTries() && (rq.neverRan == rq.tries.size()
-                || rq.row.is.repeat() == Repeat.RETRIABLE || rq.row.is.repeat() == Repeat.DEDUPED
-                && now < rq.mayHaveRun.sentNs() + rq.row.is.dedupNs() - 2 * set.stepNs());
+        return now < lastChance(now, rq) && rq.tries.size() < set.limits().maxTries()
+                && (rq.neverRan == rq.tries.size() || rq.row.is.repeat() != Repeat.NON_RETRIABLE);
     }
 
     /** The answer goes out at once; a shed reply where a repeat is harmless, so that the client may come back. */
@@ -495,7 +497,7 @@
     /** Calls back what lies at silent pods, where it may still go elsewhere in time. */
     private void rescue(long now) {
         for (Rq rq : held.values()) {
-            if (rq.out == 0 || rq.answered || rq.streaming || rq.calledBack || now >= lastChance(now, rq)
+            if (rq.out == 0 || rq.answered || rq.streaming || rq.calledBack
                     || rq.row.is.repeat() == Repeat.NON_RETRIABLE || !mayGoAgain(now, rq)) {
                 continue;
             }
