--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -15,7 +15,7 @@
     final Mean failures;
     final Mean late;
     final Decay completed;
-    final ArrayDeque<Long> sentCold = new ArrayDeque<>();
+    private final ArrayDeque<Long> sentCold = new ArrayDeque<>();
 
     Pod(PodEntry is, long halfLifeNs) {
         this.id = is.id();
@@ -25,4 +25,28 @@
         this.late = new Mean(2 * halfLifeNs);
         this.completed = new Decay(halfLifeNs);
     }
+
+    boolean ready() {
+        return is.state() == PodEntry.State.READY;
+    }
+
+    void sendCold(long nowNs) {
+        sentCold.add(nowNs);
+    }
+
+    int sentColdAfter(long ns) {
+        while (!sentCold.isEmpty() && sentCold.peek() <= ns) {
+            sentCold.poll();
+        }
+        return sentCold.size();
+    }
+
+    /** Takes a new line of the list; an id may come back as another machine, for which nothing of its past counts. */
+    void take(PodEntry entry) {
+        if (is.startedNs() != entry.startedNs() || is.build() != entry.build()) {
+            strikes = 0;
+            sentCold.clear();
+        }
+        is = entry;
+    }
 }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import mulleinlever.Settings.Control;
 import mulleinlever.Settings.Repeat;
 import mulleinlever.Settings.Rollout;
@@ -131,7 +133,7 @@
     private long askAgainNs;
     private int asksFailed;
 
-    private final Map<Integer, double[]> exposure = new HashMap<>();
+    private final Map<Integer, Saved> exposure = new HashMap<>();
     private final Map<Long, Integer> answeredBy = new HashMap<>();
     private final Map<String, Double> warmRates = new HashMap<>();
 
@@ -143,13 +145,7 @@
     private State state = State.NORMAL;
     private long clearNs;
 
-    private Verdict wanted = Verdict.NONE;
-    private long wantedSinceNs;
-    private Verdict asked;
-    private long votedNs;
-    private long voteAgainNs;
-    private Verdict standing = Verdict.NONE;
-    private long standingUntilNs;
+    private final Ballot ballot = new Ballot();
 
     public Policy(Settings set, long seed, long now, Host host) {
         this.set = set;
@@ -200,13 +196,7 @@
 
     private void take(List<PodEntry> entries) {
         for (PodEntry e : entries) {
-            Pod pod = pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE));
-            // An id may come back as another machine: nothing that its forerunner did counts for it.
-            if (pod.is.startedNs() != e.startedNs() || pod.is.build() != e.build()) {
-                pod.strikes = 0;
-                pod.sentCold.clear();
-            }
-            pod.is = e;
+            pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e);
         }
     }
 
@@ -305,11 +295,11 @@
         pod.owesSinceNs = pod.open++ == 0 ? now : pod.owesSinceNs;
         open++;
         if (cold) {
-            pod.sentCold.add(now);
+            pod.sendCold(now);
         }
         sent.add(now, onTrial(t.build()) ? 0 : 1);
         if (onTrial(t.build())) {
-            bucket(t.build())[lane(rq.row)]--;
+            saved(t.build()).spend(lane(rq.row));
         }
         long limit = rq.dueNs - now - set.stepNs();
         if (strained && rq.row.is.repeat() != Repeat.NON_RETRIABLE) {
@@ -365,13 +355,13 @@
 
     private boolean mayGoAgain(long now, Rq rq) {
         return now < lastChance(now, rq) && rq.tries.size() < set.limits().maxTries()
-                && (rq.neverRan == rq.tries.size() || rq.row.is.repeat() != Repeat.NON_RETRIABLE);
+                && (rq.provenNotRun() || rq.row.is.repeat() != Repeat.NON_RETRIABLE);
     }
 
     /** The answer goes out at once; a shed reply where a repeat is harmless, so that the client may come back. */
     private void giveUp(long now, Rq rq) {
         rq.answered = true;
-        if (rq.neverRan == rq.tries.size() || rq.row.is.repeat() == Repeat.RETRIABLE
+        if (rq.provenNotRun() || rq.row.is.repeat() == Repeat.RETRIABLE
                 || rq.row.is.repeat() == Repeat.DEDUPED && rq.row.is.scope() == Scope.ALL) {
             long backoff = Math.min(set.limits().maxRetryAfterNs(), rq.row.is.objectiveNs() / 4);
             host.shed(rq.is.id(), set.limits().retryAfter() ? backoff : 0);
@@ -400,14 +390,14 @@
 
     // ---- Choosing a pod.
 
+    private Stream<Pod> ready() {
+        return pods.values().stream().filter(Pod::ready);
+    }
+
     /** Two random choices by load among the pods the req may go to, the first of them near where there is one. */
     private Pod pick(long now, Rq rq) {
-        List<Pod> may = new ArrayList<>();
-        for (Pod p : pods.values()) {
-            if (allowed(now, rq, p)) {
-                may.add(p);
-            }
-        }
+        List<Pod> may = new ArrayList<>(pods.values());
+        may.removeIf(p -> !allowed(now, rq, p));
         prefer(may, p -> fit(now, p) && rq.tries.stream().noneMatch(t -> t.pod() == p));
         if (rollout.oneWay()) {
             prefer(may, p -> onTrial(p.is.build()));
@@ -422,7 +412,7 @@
         return load(now, b) < load(now, a) ? b : a;
     }
 
-    private static void prefer(List<Pod> from, java.util.function.Predicate<Pod> wish) {
+    private static void prefer(List<Pod> from, Predicate<Pod> wish) {
         if (from.stream().anyMatch(wish)) {
             from.removeIf(wish.negate());
         }
@@ -438,7 +428,7 @@
 
     /** What no rule forbids. */
     private boolean allowed(long now, Rq rq, Pod p) {
-        if (p.is.state() != PodEntry.State.READY || !coldRoom(now, p) || !exposureRoom(rq, p)) {
+        if (!p.ready() || !coldRoom(now, p) || !exposureRoom(rq, p)) {
             return false;
         }
         if (rq.mayHaveRun == null || rq.row.is.repeat() != Repeat.DEDUPED) {
@@ -501,7 +491,7 @@
                     || rq.row.is.repeat() == Repeat.NON_RETRIABLE || !mayGoAgain(now, rq)) {
                 continue;
             }
-            Try t = rq.tries.get(rq.tries.size() - 1);
+            Try t = rq.last();
             if (silent(now, t.pod()) && now - t.sentNs() > silenceNs(now)) {
                 rq.calledBack = true;
                 t.pod().strikes = MOST_STRIKES;
@@ -516,8 +506,7 @@
         double at = ease.read(now, 0, 1);
         strained = at > AT_EASE;
         if (strained) {
-            long ready = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY).count();
-            room = Math.max(ready, room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
+            room = Math.max(ready().count(), room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
         } else if (open > 0.8 * room) {
             room *= 1.02;
         }
@@ -535,12 +524,9 @@
             return true;
         }
         long window = set.rules().fallNs();
-        while (!p.sentCold.isEmpty() && p.sentCold.peek() <= now - window) {
-            p.sentCold.poll();
-        }
         double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
-        return p.sentCold.size() + 1 <= Math.max(1, 1.25 * can * warmRate(now, p) * window / SECOND + 0.5);
+        return p.sentColdAfter(now - window) + 1 <= Math.max(1, 1.25 * can * warmRate(now, p) * window / SECOND + 0.5);
     }
 
     /**
@@ -548,17 +534,9 @@
      * may leave only cold pods.
      */
     private double warmRate(long now, Pod cold) {
-        double rate = 0;
-        int n = 0;
-        for (Pod p : pods.values()) {
-            if (p.is.state() == PodEntry.State.READY && !cold(now, p) && p.is.kind().equals(cold.is.kind())) {
-                rate += p.completed.perSecond(now);
-                n++;
-            }
-        }
-        if (n > 0) {
-            warmRates.put(cold.is.kind(), rate / n);
-        }
+        ready().filter(p -> !cold(now, p) && p.is.kind().equals(cold.is.kind()))
+                .mapToDouble(p -> p.completed.perSecond(now)).average()
+                .ifPresent(rate -> warmRates.put(cold.is.kind(), rate));
         return warmRates.getOrDefault(cold.is.kind(), 0.0);
     }
 
@@ -588,18 +566,13 @@
      * ever saved up, so that no window of any length holds more than the rule allows. It starts empty, since a
      * forerunner of this sidecar may just have spent it.
      */
-    private double[] bucket(int build) {
-        return exposure.computeIfAbsent(build, b -> new double[rows.size()]);
+    private Saved saved(int build) {
+        return exposure.computeIfAbsent(build, b -> new Saved(rows.size(), rollout.uncounted()));
     }
 
     private void earnExposure(Row row) {
-        for (Pod p : pods.values()) {
-            if (onTrial(p.is.build())) {
-                bucket(p.is.build());
-            }
-        }
-        exposure.forEach((build, saved) -> saved[lane(row)] =
-                Math.min(rollout.uncounted(), saved[lane(row)] + capOf(build)));
+        pods.values().stream().map(p -> p.is.build()).filter(this::onTrial).forEach(this::saved);
+        exposure.forEach((build, saved) -> saved.earn(lane(row), capOf(build)));
     }
 
     private boolean exposureRoom(Rq rq, Pod p) {
@@ -616,18 +589,13 @@
                 || rollout.oneWay() && !oneWayKey(rq, build)) {
             return false;
         }
-        return bucket(build)[lane(rq.row)] >= 1;
+        return saved(build).enough(lane(rq.row));
     }
 
     /** Where a key can't go back, the trial keeps to a part of the keys, so that their later reqs still have room. */
     private boolean oneWayKey(Rq rq, int build) {
-        double ready = 0;
-        double own = 0;
-        for (Pod p : pods.values()) {
-            ready += p.is.state() == PodEntry.State.READY ? 1 : 0;
-            own += p.is.state() == PodEntry.State.READY && p.is.build() == build ? 1 : 0;
-        }
-        double part = Math.min(ONE_WAY_PART * capOf(build), own / ready);
+        double own = ready().filter(p -> p.is.build() == build).count();
+        double part = Math.min(ONE_WAY_PART * capOf(build), own / ready().count());
         return answeredBy.getOrDefault(rq.is.key(), 0) == build
                 || new SplittableRandom(rq.is.key()).nextDouble() < part;
     }
@@ -670,23 +638,19 @@
     }
 
     private double middleLate(long now) {
-        double[] late = pods.values().stream().filter(p -> p.is.state() == PodEntry.State.READY && !cold(now, p))
-                .mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
+        double[] late = ready().filter(p -> !cold(now, p)).mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
         return late.length == 0 ? 0 : late[(late.length - 1) / 2];
     }
 
     /** What this sidecar sends a second to each fit pod that is not on trial. */
     private double loadNow(long now) {
-        long fit = pods.values().stream()
-                .filter(p -> p.is.state() == PodEntry.State.READY && !onTrial(p.is.build()) && fit(now, p)).count();
+        long fit = ready().filter(p -> !onTrial(p.is.build()) && fit(now, p)).count();
         return sent.perSecond(now) / Math.max(1, fit);
     }
 
     /** A pod far worse than most of its own build says something of itself, hung or slow, and not of the build. */
     private boolean standsOut(long now, Pod pod) {
-        double[] worse = pods.values().stream()
-                .filter(p -> p.is.build() == pod.is.build() && p.is.state() == PodEntry.State.READY)
-                .mapToDouble(p -> badness(now, p)).sorted().toArray();
+        double[] worse = ready().filter(p -> p.is.build() == pod.is.build()).mapToDouble(p -> badness(now, p)).sorted().toArray();
         return worse.length > 1 && badness(now, pod) > STANDS_OUT * worse[(worse.length - 1) / 2];
     }
 
@@ -759,8 +723,7 @@
         if (news == null || news.build() != told.build() || news.stage() != told.stage()
                 || news.phase() != told.phase()) {
             host.log("build " + told.build() + " stage " + told.stage() + " " + told.phase());
-            standing = Verdict.NONE;
-            wanted = Verdict.NONE;
+            ballot.clear();
         }
         news = told;
         stageSinceNs = now - told.ageNs();
@@ -770,13 +733,11 @@
 
     /** A vote that got no good answer may count or not: it is cast again after a pause, not all sidecars at once. */
     public void voteAnswered(long now, boolean counts) {
-        if (counts && asked != null) {
-            standing = asked;
-            standingUntilNs = votedNs + rollout.voteStandsNs();
+        if (counts) {
+            ballot.counted(rollout.voteStandsNs());
         } else {
-            voteAgainNs = now + SECOND / 2 + random.nextLong(SECOND);
+            ballot.failed(now + SECOND / 2 + random.nextLong(SECOND));
         }
-        asked = null;
     }
 
     private Verdict verdict(long now) {
@@ -798,17 +759,15 @@
 
     private void vote(long now) {
         Verdict v = verdict(now);
-        wantedSinceNs = v == wanted ? wantedSinceNs : now;
-        wanted = v;
-        boolean waits = asked != null && now < votedNs + rollout.voteWaitNs() + SECOND || now < voteAgainNs;
-        Verdict stands = now < standingUntilNs ? standing : Verdict.NONE;
-        boolean renew = v != Verdict.NONE && now >= standingUntilNs - rollout.voteStandsNs() / 4;
-        if (waits || v == stands && !renew || v != Verdict.NONE && now < wantedSinceNs + standInAfter(v)) {
-            return;
+        ballot.want(now, v);
+        boolean waits = ballot.asked != null && now < ballot.askedNs + rollout.voteWaitNs() + SECOND
+                || now < ballot.againNs;
+        // A vote is renewed before it lapses.
+        boolean stands = ballot.standsAt(now) == v && ballot.standsAt(now + rollout.voteStandsNs() / 4) == v;
+        if (!waits && !stands && (v == Verdict.NONE || now >= ballot.wantedSinceNs + standInAfter(v))) {
+            ballot.ask(now);
+            host.vote(news.build(), news.stage(), v);
         }
-        asked = v;
-        votedNs = now;
-        host.vote(news.build(), news.stage(), v);
     }
 
     /** The voters are the lowest under a hash of build and stage; each later one stands in after a further wait. */
--- a/src/main/java/mulleinlever/Rq.java
+++ b/src/main/java/mulleinlever/Rq.java
@@ -23,4 +23,12 @@
         this.arrivedNs = nowNs;
         this.dueNs = nowNs + is.expiresInNs();
     }
+
+    Try last() {
+        return tries.get(tries.size() - 1);
+    }
+
+    boolean provenNotRun() {
+        return neverRan == tries.size();
+    }
 }
