--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -12,7 +12,6 @@
     long sickForNs;
     long sickUntilNs;
     final Mean slowness;
-    final Mean failures;
     final Mean late;
     final Decay completed;
     private final ArrayDeque<Long> sentCold = new ArrayDeque<>();
@@ -21,7 +20,6 @@
         this.id = is.id();
         this.is = is;
         this.slowness = new Mean(halfLifeNs);
-        this.failures = new Mean(halfLifeNs);
         this.late = new Mean(2 * halfLifeNs);
         this.completed = new Decay(halfLifeNs);
     }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -44,9 +44,6 @@
     private static final double LATE_STEP = 0.04;
     /** Outcomes that the earlier build must have shown lately before its share is a sample. */
     private static final double REFERENCE_FLOOR = 5;
-    /** How many times slower than its build's middle pod a pod may be before it is no evidence on the build. */
-    private static final double STANDS_OUT = 2;
-    private static final double FAILURE_WEIGHT = 4;
     /** How much more than usual the pods must have to do before lateness on both builds is put down to that. */
     private static final double MORE_LOAD = 1.25;
     /** The part of the longest warming time in which a pod's outcomes say more of its cold than of its build. */
@@ -54,7 +51,6 @@
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
-    private static final long EARLY_PROOF_WAIT = 4 * SECOND;
     /** How long a build that was suspect must look normal before it gets an 'on'. */
     private static final long CLEARED_FOR = 4 * SECOND;
     private static final double FLAG_FLOOR = 2.5;
@@ -452,7 +448,6 @@
             row.times.add(now, tookNs);
             ease.add(now, tookNs / (double) row.is.objectiveNs());
         }
-        p.failures.add(now, ok ? 0 : 1);
         if (ok) {
             completed.add(now, 1);
             p.completed.add(now, 1);
@@ -597,7 +592,7 @@
 
     // ---- Judging the build.
 
-    /** An outcome as evidence; pods not yet warm when it was sent are left out, and those that stand out. */
+    /** An outcome as evidence; pods not yet warm when it was sent are left out. */
     private void weigh(long now, Row row, Try t, Ending ending, long tookNs) {
         if (news == null || !t.warm() || t.build() > news.build() || ending == Ending.CONNECT_FAILED) {
             return;
@@ -605,9 +600,6 @@
         boolean judged = t.build() == news.build();
         boolean late = tookNs > row.lateNs;
         t.pod().late.add(now, late ? 1 : 0);
-        if (standsOut(now, t.pod())) {
-            return;
-        }
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
         (judged ? trial : earlier).end(now, row.at, failed, late);
         // Not learned while a trial is on: a build that slows down its neighbours too would be forgiven.
@@ -643,17 +635,6 @@
         return sent.perSecond(now) / Math.max(1, fit);
     }
 
-    /** A pod far worse than most of its own build says something of itself, hung or slow, and not of the build. */
-    private boolean standsOut(long now, Pod pod) {
-        double[] worse = ready().filter(p -> p.is.build() == pod.is.build()).mapToDouble(p -> badness(now, p)).sorted().toArray();
-        return worse.length > 1 && badness(now, pod) > STANDS_OUT * worse[(worse.length - 1) / 2];
-    }
-
-    private double badness(long now, Pod p) {
-        return silent(now, p) ? Double.POSITIVE_INFINITY
-                : p.slowness.read(now, 1, 2) * (1 + FAILURE_WEIGHT * p.failures.read(now, 0, 2));
-    }
-
     public void flagged(long now, String podId, String route) {
         Pod p = pods.get(podId);
         if (p == null || news == null || p.is.build() > news.build() || rollout.complaintShare() <= 0) {
@@ -744,10 +725,9 @@
             return onTrial && state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
         }
         long age = now - stageSinceNs;
-        // Who has seen little waits, so that who has seen more speaks first; the last 'on' takes the earlier pods away.
-        boolean last = news.stage() == rollout.shares().size() - 1;
-        boolean proven = news.stage() == 0 || trial.everEnded(rows.size()) >= (last ? PROOF : OUTCOME_FLOOR)
-                || age > rollout.bakeNs() + (last ? PROOF_WAIT : EARLY_PROOF_WAIT);
+        // The last 'on' takes the earlier pods away. Who has seen little waits: who has seen more may speak first.
+        boolean proven = news.stage() < rollout.shares().size() - 1 || trial.everEnded(rows.size()) >= PROOF
+                || age > rollout.bakeNs() + PROOF_WAIT;
         return state == State.NORMAL && now >= clearNs && age >= rollout.bakeNs() && proven
                 ? Verdict.ON : Verdict.NONE;
     }
