Pods rest only while half of those a req may go to are left

Told from failing pods by most pods failing alike. Should hold as well against any fault between this sidecar and all pods; may hurt where half of the pods really fail.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -63,6 +63,8 @@
     private static final long SICK_FOR_MOST = 8 * SECOND;
     private static final int SICK_STRIKES = 3;
     private static final int MOST_STRIKES = 6;
+    /** Pods rest only while this part of those a req may go to is left. */
+    private static final double PANIC_PART = 0.5;
     /** A pod that owes answers and gave none for so many mean times of the slowest route is silent. */
     private static final double SILENCE_MEANS = 4;
     /** Answers are wanted at this share of their latency objective; above it, fewer tries are let out. */
@@ -389,22 +391,25 @@
     private Pod pick(long now, Rq rq) {
         List<Pod> may = new ArrayList<>(pods.values());
         may.removeIf(p -> !allowed(now, rq, p));
-        prefer(may, p -> fit(now, p) && rq.tries.stream().noneMatch(t -> t.pod() == p));
+        // Where most pods fail, resting them would jam the few: then they are no worse than the rest.
+        prefer(may, PANIC_PART, p -> fit(now, p));
+        prefer(may, 0, p -> rq.tries.stream().noneMatch(t -> t.pod() == p));
         if (rollout.oneWay()) {
-            prefer(may, p -> onTrial(p.is.build()));
+            prefer(may, 0, p -> onTrial(p.is.build()));
         }
         if (may.isEmpty()) {
             return null;
         }
         List<Pod> near = new ArrayList<>(may);
-        prefer(near, this::near);
+        prefer(near, 0, this::near);
         Pod a = near.get(random.nextInt(near.size()));
         Pod b = may.get(random.nextInt(may.size()));
         return load(now, b) < load(now, a) ? b : a;
     }
 
-    private static void prefer(List<Pod> from, Predicate<Pod> wish) {
-        if (from.stream().anyMatch(wish)) {
+    private static void prefer(List<Pod> from, double part, Predicate<Pod> wish) {
+        long some = from.stream().filter(wish).count();
+        if (some > 0 && some >= part * from.size()) {
             from.removeIf(wish.negate());
         }
     }
