--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -51,8 +51,6 @@
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
-    /** How long a build that was suspect must look normal before it gets an 'on'. */
-    private static final long CLEARED_FOR = 4 * SECOND;
     private static final double FLAG_FLOOR = 2.5;
     /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
     private static final long STAND_IN_ON = 2 * SECOND;
@@ -76,6 +74,8 @@
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
+    /** How many in line may be passed over for want of a pod before the look at the line ends. */
+    private static final int LINE_LOOK = 8;
     private static final long TICK = 100 * MS;
     private static final long LINE_TICK = 25 * MS;
 
@@ -89,6 +89,11 @@
         double samples;
         State state = State.NORMAL;
 
+        Detector(double mean, double samples) {
+            this.mean = mean;
+            this.samples = samples;
+        }
+
         void learn(double sample) {
             double w = Math.max(LONG_WEIGHT, 1.0 / ++samples);
             mean = w * sample + (1 - w) * mean;
@@ -120,11 +125,9 @@
     private final Mean ease = new Mean(SECOND);
     private double room = ROOM_FIRST;
     private int open;
-    private boolean strained;
     private long unsteadyUntilNs;
     private final Decay sent = new Decay(2 * SECOND);
     private final Mean usualLoad = new Mean(2 * MEASURE_HALF_LIFE);
-    private final Mean usedToStrain = new Mean(2 * MEASURE_HALF_LIFE);
     private long wakeNs;
 
     private boolean watching;
@@ -141,7 +144,6 @@
     private Side trial;
     private final Detector[] detectors;
     private State state = State.NORMAL;
-    private long clearNs;
 
     private final Ballot ballot = new Ballot();
 
@@ -151,19 +153,14 @@
         this.host = host;
         this.random = new SplittableRandom(seed);
         for (Settings.Route r : set.routes()) {
-            Row row = new Row(r, rows.size(), 2 * MEASURE_HALF_LIFE);
-            row.lateNs = r.objectiveNs() / 2.0;
-            rows.put(r.name(), row);
+            rows.put(r.name(), new Row(r, rows.size(), 2 * MEASURE_HALF_LIFE));
         }
         earlier = new Side(rows.size(), SAMPLE_HALF_LIFE);
         trial = new Side(rows.size(), SAMPLE_HALF_LIFE);
         detectors = new Detector[2 * rows.size() + 2];
-        Arrays.setAll(detectors, i -> new Detector());
-        for (int i = 1; i < detectors.length; i += 2) {
-            // What is late is so defined that the earlier build's share is known before any is seen.
-            detectors[i].mean = 1 - LATE_QUANTILE;
-            detectors[i].samples = 1 / LONG_WEIGHT;
-        }
+        // What is late is so defined that the earlier build's share is known before any is seen.
+        Arrays.setAll(detectors, i -> i % 2 == 0 ? new Detector(0, 0)
+                : new Detector(1 - LATE_QUANTILE, 1 / LONG_WEIGHT));
         host.timer(now + SECOND, "sample");
         host.timer(now + TICK, "tick");
         if (set.listMustBeAsked()) {
@@ -228,15 +225,12 @@
     private double shedChance(long now, Rq rq) {
         double perNs = Math.max(1, completed.perSecond(now)) / SECOND;
         double pressure = firstTries.size() / perNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
-        return Math.min(0.95, pressure * cheapness(now, rq.row));
+        double usual = rows.values().stream().mapToDouble(r -> earningsPerNs(now, r)).average().orElse(0);
+        return Math.min(0.95, pressure * Math.min(2, usual / earningsPerNs(now, rq.row)));
     }
 
-    private double cheapness(long now, Row row) {
-        double mean = 0;
-        for (Row r : rows.values()) {
-            mean += r.is.earnings() / meanNs(now, r) / rows.size();
-        }
-        return Math.min(2, mean / (row.is.earnings() / meanNs(now, row)));
+    private double earningsPerNs(long now, Row row) {
+        return row.is.earnings() / meanNs(now, row);
     }
 
     private void join(long now, Rq rq) {
@@ -265,12 +259,11 @@
         int misses = 0;
         for (Iterator<Rq> it = line.iterator(); it.hasNext();) {
             Rq rq = it.next();
-            boolean over = now >= lastChance(now, rq);
-            if (rq.answered || over || misses < 8 && send(now, rq)) {
+            if (rq.answered || misses < LINE_LOOK && now < lastChance(now, rq) && send(now, rq)) {
                 it.remove();
-                if (over && !rq.answered) {
-                    giveUp(now, rq);
-                }
+            } else if (now >= lastChance(now, rq)) {
+                it.remove();
+                giveUp(now, rq);
             } else {
                 misses++;
                 wake(Math.min(now + LINE_TICK, lastChance(now, rq)));
@@ -499,16 +492,13 @@
     /** Fewer tries lie at the pods the longer answers take: what waits here can still be shed, or go elsewhere. */
     private void makeRoom(long now) {
         double at = ease.read(now, 0, 1);
-        strained = at > AT_EASE;
-        if (strained) {
+        if (at > AT_EASE) {
             room = Math.max(ready().count(), room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
         } else if (open > 0.8 * room) {
             room *= 1.02;
         }
     }
 
-    // ---- Cold pods.
-
     private boolean cold(long now, Pod p) {
         return p.is.startedNs() > 0 && now < p.is.startedNs() + set.rules().warmAfterNs();
     }
@@ -518,10 +508,9 @@
         if (!cold(now, p)) {
             return true;
         }
-        long window = set.rules().fallNs();
         double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
-        return p.sentColdAfter(now - window) + 1 <= Math.max(1, 1.25 * can * warmRate(now, p) * window / SECOND + 0.5);
+        return p.sentColdAfter(now - set.rules().fallNs()) + 1 <= Math.max(1, 1.25 * can * warmRate(now, p) * set.rules().fallNs() / SECOND + 0.5);
     }
 
     /**
@@ -610,7 +599,7 @@
         // Not learned while a trial is on: a build that slows down its neighbours too would be forgiven.
         if (ending == Ending.OK && news.phase() != News.Phase.ON_TRIAL
                 && judged == (news.phase() == News.Phase.RELEASED)) {
-            double step = Math.max(LATE_STEP, 1.0 / (4 + row.lateSeen++));
+            double step = Math.max(LATE_STEP, 3.0 / (6 + row.lateSeen++));
             row.lateNs *= tookNs > row.lateNs ? 1 + step * LATE_QUANTILE : 1 - step * (1 - LATE_QUANTILE);
         }
     }
@@ -625,8 +614,8 @@
         boolean reference = earlier.ended(now, place) >= OUTCOME_FLOOR;
         double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
         double apart = Math.max(0, Math.min(1, share - (ofLate ? shift : Math.max(0, shift))));
-        boolean steady = now >= unsteadyUntilNs && usedToStrain.read(now, 0, 1) < 0.2;
-        return ofLate && steady && reference && place == rows.size() ? Math.max(apart, middleLate(now)) : apart;
+        boolean whole = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
+        return whole ? Math.max(apart, middleLate(now)) : apart;
     }
 
     private double middleLate(long now) {
@@ -684,7 +673,6 @@
             host.log("build " + news.build() + " stage " + news.stage() + ": " + state + " to " + worst + why);
         }
         state = worst;
-        clearNs = state == State.NORMAL ? clearNs : now + CLEARED_FOR;
     }
 
     // ---- News and votes.
@@ -733,8 +721,7 @@
         // The last 'on' takes the earlier pods away. Who has seen little waits: who has seen more may speak first.
         boolean proven = news.stage() < rollout.shares().size() - 1 || trial.everEnded(rows.size()) >= PROOF
                 || age > rollout.bakeNs() + PROOF_WAIT;
-        return state == State.NORMAL && now >= clearNs && age >= rollout.bakeNs() && proven
-                ? Verdict.ON : Verdict.NONE;
+        return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
     }
 
     private void vote(long now) {
@@ -768,8 +755,6 @@
         return new SplittableRandom((news.build() * 1000L + news.stage()) * 100_003L + rank).nextLong();
     }
 
-    // ---- Time.
-
     public void timer(long now, String token) {
         switch (token) {
             case "sample" -> {
@@ -780,7 +765,6 @@
                     }
                     if (news.phase() != News.Phase.ON_TRIAL) {
                         usualLoad.add(now, loadNow(now));
-                        usedToStrain.add(now, strained ? 1 : 0);
                     }
                     judge(now);
                     vote(now);
--- a/src/main/java/mulleinlever/Row.java
+++ b/src/main/java/mulleinlever/Row.java
@@ -11,6 +11,7 @@
     Row(Settings.Route is, int at, long halfLifeNs) {
         this.is = is;
         this.at = at;
+        this.lateNs = is.objectiveNs();
         this.times = new Mean(halfLifeNs);
     }
 }
--- a/src/test/java/mulleinlever/DetectorTest.java
+++ b/src/test/java/mulleinlever/DetectorTest.java
@@ -7,7 +7,7 @@
 class DetectorTest {
     @Test
     void longTermPairFollowsThePagesFormula() {
-        var d = new Policy.Detector();
+        var d = new Policy.Detector(0, 0);
         d.learn(0.1);
         assertEquals(0.1, d.mean, 1e-12);
         assertEquals(0, d.deviation, 1e-12);
@@ -18,7 +18,7 @@
 
     @Test
     void thresholdsStandAtTheirDeviations() {
-        var d = new Policy.Detector();
+        var d = new Policy.Detector(0, 0);
         d.learn(0.0);
         // With the floor of 0.02: suspect above 0.05, alarm above 0.09, clear below 0.01.
         d.judge(0.12, 10_000);
