--- a/src/main/java/mulleinlever/News.java
+++ b/src/main/java/mulleinlever/News.java
@@ -3,4 +3,12 @@
 /** Where the newest build stands, as the platform knew a short while before. */
 public record News(int build, int stage, Phase phase, double cap, long ageNs) {
     public enum Phase { ON_TRIAL, REVERTING, RELEASED, WITHDRAWN }
+
+    boolean onTrial() {
+        return phase == Phase.ON_TRIAL;
+    }
+
+    boolean released() {
+        return phase == Phase.RELEASED;
+    }
 }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -74,8 +73,8 @@
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
-    /** How many in line may be passed over for want of a pod before the look at the line ends. */
-    private static final int LINE_LOOK = 8;
+    /** What a cold pod may get, times what is due to one that can do so much: the rule allows more, by chance's slack. */
+    private static final double COLD_MARGIN = 1.25;
     private static final long TICK = 100 * MS;
     private static final long LINE_TICK = 25 * MS;
 
@@ -105,9 +104,7 @@
             double floor = Math.max(DEVIATION_FLOOR, Math.sqrt(sample * (1 - sample) / n));
             double above = (recent - mean) / Math.max(deviation, floor);
             boolean held = state == State.ALARM && above >= ALARM_CLEARS_AT;
-            boolean cleared = state == State.ALARM && !held;
-            state = above > ALARM_AT || held ? State.ALARM
-                    : above > SUSPECT_AT && !cleared ? State.SUSPECT : State.NORMAL;
+            state = above > ALARM_AT || held ? State.ALARM : above > SUSPECT_AT ? State.SUSPECT : State.NORMAL;
         }
     }
 
@@ -121,7 +118,6 @@
     private final Map<String, Rq> held = new LinkedHashMap<>();
     private final ArrayDeque<Rq> firstTries = new ArrayDeque<>();
     private final ArrayDeque<Rq> furtherTries = new ArrayDeque<>();
-    private final Decay completed = new Decay(MEASURE_HALF_LIFE);
     private final Mean ease = new Mean(SECOND);
     private double room = ROOM_FIRST;
     private int open;
@@ -170,11 +166,6 @@
 
     // ---- The list of pods.
 
-    public void listRemembered(long now, List<PodEntry> entries) {
-        take(entries);
-        serveLines(now);
-    }
-
     public void listWhole(long now, List<PodEntry> entries) {
         Map<String, Pod> missing = new HashMap<>(pods);
         entries.forEach(e -> missing.remove(e.id()));
@@ -185,16 +176,10 @@
     public void listChanged(long now, List<PodEntry> entries) {
         watching = true;
         asksFailed = 0;
-        take(entries);
+        entries.forEach(e -> pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e));
         serveLines(now);
     }
 
-    private void take(List<PodEntry> entries) {
-        for (PodEntry e : entries) {
-            pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e);
-        }
-    }
-
     /** Whether a watch still stands can't be told from the notice, so it is asked for again, ever more rarely. */
     public void listFailed(long now) {
         watching = false;
@@ -223,7 +208,7 @@
 
     /** By chance, the cheaper the more often: a full line would turn away the dear ones just as well. */
     private double shedChance(long now, Rq rq) {
-        double perNs = Math.max(1, completed.perSecond(now)) / SECOND;
+        double perNs = Math.max(1, pods.values().stream().mapToDouble(p -> p.completed.perSecond(now)).sum()) / SECOND;
         double pressure = firstTries.size() / perNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
         double usual = rows.values().stream().mapToDouble(r -> earningsPerNs(now, r)).average().orElse(0);
         return Math.min(0.95, pressure * Math.min(2, usual / earningsPerNs(now, rq.row)));
@@ -256,16 +241,14 @@
     }
 
     private void serve(long now, ArrayDeque<Rq> line) {
-        int misses = 0;
-        for (Iterator<Rq> it = line.iterator(); it.hasNext();) {
-            Rq rq = it.next();
-            if (rq.answered || misses < LINE_LOOK && now < lastChance(now, rq) && send(now, rq)) {
-                it.remove();
-            } else if (now >= lastChance(now, rq)) {
-                it.remove();
+        for (Rq rq : List.copyOf(line)) {
+            boolean over = now >= lastChance(now, rq);
+            if (over && !rq.answered) {
                 giveUp(now, rq);
+            }
+            if (rq.answered || send(now, rq)) {
+                line.remove(rq);
             } else {
-                misses++;
                 wake(Math.min(now + LINE_TICK, lastChance(now, rq)));
             }
         }
@@ -394,7 +377,7 @@
             return null;
         }
         List<Pod> near = new ArrayList<>(may);
-        prefer(near, 0, this::near);
+        prefer(near, 0, p -> p.is.zone().equals(set.zone()));
         Pod a = near.get(random.nextInt(near.size()));
         Pod b = may.get(random.nextInt(may.size()));
         return load(now, b) < load(now, a) ? b : a;
@@ -407,12 +390,9 @@
         }
     }
 
-    private boolean near(Pod p) {
-        return p.is.zone().equals(set.zone());
-    }
-
     private double load(long now, Pod p) {
-        return (p.open + 1) * p.slowness.read(now, 1, 2) / Math.max(0.01, p.is.weight()) * (set.prices().crossZone() > 0 && !near(p) ? FAR_LOAD : 1);
+        double far = set.prices().crossZone() > 0 && !p.is.zone().equals(set.zone()) ? FAR_LOAD : 1;
+        return far * (p.open + 1) * p.slowness.read(now, 1, 2) / Math.max(0.01, p.is.weight());
     }
 
     /** What no rule forbids. */
@@ -420,15 +400,8 @@
         if (!p.ready() || !coldRoom(now, p) || !exposureRoom(rq, p)) {
             return false;
         }
-        if (rq.mayHaveRun == null || rq.row.is.repeat() != Repeat.DEDUPED) {
-            return true;
-        }
-        PodEntry ran = rq.mayHaveRun.pod().is;
-        return switch (rq.row.is.scope()) {
-            case ALL -> true;
-            case ZONE -> p.is.zone().equals(ran.zone());
-            case CELL -> p.is.cell() == ran.cell();
-        };
+        return rq.mayHaveRun == null || rq.row.is.repeat() != Repeat.DEDUPED
+                || rq.row.is.scope().holds(rq.mayHaveRun.pod().is, p.is);
     }
 
     // ---- The pods' health, and the room for open tries.
@@ -447,7 +420,6 @@
             ease.add(now, tookNs / (double) row.is.objectiveNs());
         }
         if (ok) {
-            completed.add(now, 1);
             p.completed.add(now, 1);
             // A pod that fails half of its tries must not be cleared by one lucky answer.
             p.strikes = Math.max(0, p.strikes - 1);
@@ -465,11 +437,8 @@
 
     /** Hung, cut off, paused or jammed: whatever the cause, it owes answers and has given none for long. */
     private boolean silent(long now, Pod p) {
-        return p.open > 0 && now - p.owesSinceNs > silenceNs(now);
-    }
-
-    private double silenceNs(long now) {
-        return SILENCE_MEANS * rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
+        double slowest = rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
+        return p.open > 0 && now - p.owesSinceNs > SILENCE_MEANS * slowest;
     }
 
     /** Calls back what lies at silent pods, where it may still go elsewhere in time. */
@@ -480,7 +449,7 @@
                 continue;
             }
             Try t = rq.last();
-            if (silent(now, t.pod()) && now - t.sentNs() > silenceNs(now)) {
+            if (silent(now, t.pod())) {
                 rq.calledBack = true;
                 t.pod().strikes = MOST_STRIKES;
                 t.pod().sickUntilNs = now + SICK_FOR;
@@ -510,13 +479,11 @@
         }
         double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
-        return p.sentColdAfter(now - set.rules().fallNs()) + 1 <= Math.max(1, 1.25 * can * warmRate(now, p) * set.rules().fallNs() / SECOND + 0.5);
+        double most = COLD_MARGIN * can * warmRate(now, p) * set.rules().fallNs() / SECOND + 0.5;
+        return p.sentColdAfter(now - set.rules().fallNs()) + 1 <= Math.max(1, most);
     }
 
-    /**
-     * What a warm pod of the same kind completes for this sidecar; the last known where none is left, since a release
-     * may leave only cold pods.
-     */
+    /** What a warm pod of its kind completes for this sidecar; the last known where a release left only cold ones. */
     private double warmRate(long now, Pod cold) {
         ready().filter(p -> !cold(now, p) && p.is.kind().equals(cold.is.kind()))
                 .mapToDouble(p -> p.completed.perSecond(now)).average()
@@ -530,7 +497,7 @@
         if (news == null) {
             return pods.values().stream().anyMatch(p -> p.is.build() < build);
         }
-        return build > news.build() || build == news.build() && news.phase() != News.Phase.RELEASED;
+        return build > news.build() || build == news.build() && !news.released();
     }
 
     private boolean announced(int build) {
@@ -545,11 +512,7 @@
         return rollout.countedByRoute() ? row.at : 0;
     }
 
-    /**
-     * What may still be sent to a build: each req taken earns its capped share, and no more than the free number is
-     * ever saved up, so that no window of any length holds more than the rule allows. It starts empty, since a
-     * forerunner of this sidecar may just have spent it.
-     */
+    /** Against any window over the rule: each req earns its share, and no more than the free number is ever saved. */
     private Saved saved(int build) {
         return exposure.computeIfAbsent(build, b -> new Saved(rows.size(), rollout.uncounted()));
     }
@@ -561,7 +524,7 @@
 
     private boolean exposureRoom(Rq rq, Pod p) {
         int build = p.is.build();
-        boolean stands = news != null && news.phase() != News.Phase.REVERTING && news.phase() != News.Phase.WITHDRAWN;
+        boolean stands = news != null && (news.onTrial() || news.released());
         if (stands && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
             return false;
         }
@@ -597,8 +560,7 @@
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
         (judged ? trial : earlier).end(now, row.at, failed, late);
         // Not learned while a trial is on: a build that slows down its neighbours too would be forgiven.
-        if (ending == Ending.OK && news.phase() != News.Phase.ON_TRIAL
-                && judged == (news.phase() == News.Phase.RELEASED)) {
+        if (ending == Ending.OK && !news.onTrial() && judged == news.released()) {
             double step = Math.max(LATE_STEP, 3.0 / (6 + row.lateSeen++));
             row.lateNs *= tookNs > row.lateNs ? 1 + step * LATE_QUANTILE : 1 - step * (1 - LATE_QUANTILE);
         }
@@ -619,7 +581,8 @@
     }
 
     private double middleLate(long now) {
-        double[] late = ready().filter(p -> !cold(now, p)).mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
+        double[] late = ready().filter(p -> !cold(now, p))
+                .mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
         return late.length == 0 ? 0 : late[(late.length - 1) / 2];
     }
 
@@ -651,17 +614,17 @@
         for (int i = 0; i < detectors.length; i++) {
             Detector d = detectors[i];
             boolean ofLate = i % 2 == 1;
-            boolean onTrial = news.phase() == News.Phase.ON_TRIAL;
             // Below the outcome floor all looks normal, so no trial's time is learned from: what slows its neighbours
             // would be taken for theirs. Nor a release's: its faults would become the measure of themselves.
-            boolean only = news.phase() == News.Phase.RELEASED && earlier.everEnded(rows.size()) == 0;
-            Side steady = only ? trial : earlier;
-            if (state == State.NORMAL && !onTrial && (only || news.phase() != News.Phase.RELEASED) && steady.ended(now, i / 2) >= REFERENCE_FLOOR) {
+            boolean first = news.released() && earlier.everEnded(rows.size()) == 0;
+            Side steady = first ? trial : earlier;
+            if (state == State.NORMAL && (first || !news.onTrial() && !news.released())
+                    && steady.ended(now, i / 2) >= REFERENCE_FLOOR) {
                 d.learn(share(now, steady, i / 2, ofLate));
             }
             double n = trial.ended(now, i / 2);
             // A release takes pods away: what is late after it says nothing of the build.
-            if (trial.everEnded(i / 2) >= OUTCOME_FLOOR && n >= 1 && (onTrial || !ofLate)) {
+            if (trial.everEnded(i / 2) >= OUTCOME_FLOOR && n >= 1 && (news.onTrial() || !ofLate)) {
                 d.judge(sample(now, i / 2, ofLate, d), n);
             }
             if (d.state.ordinal() > worst.ordinal()) {
@@ -678,10 +641,10 @@
     // ---- News and votes.
 
     public void news(long now, News told) {
-        if (news == null || news.build() != told.build()) {
+        boolean other = news == null || news.build() != told.build();
+        if (other) {
             // What was released is the earlier build from now on; what was taken off never was.
-            earlier = news != null && news.phase() == News.Phase.RELEASED
-                    ? new Side(rows.size(), SAMPLE_HALF_LIFE) : earlier;
+            earlier = news != null && news.released() ? new Side(rows.size(), SAMPLE_HALF_LIFE) : earlier;
             trial = new Side(rows.size(), SAMPLE_HALF_LIFE);
             state = State.NORMAL;
             for (Detector d : detectors) {
@@ -689,8 +652,7 @@
                 d.recent = d.mean;
             }
         }
-        if (news == null || news.build() != told.build() || news.stage() != told.stage()
-                || news.phase() != told.phase()) {
+        if (other || news.stage() != told.stage() || news.phase() != told.phase()) {
             host.log("build " + told.build() + " stage " + told.stage() + " " + told.phase());
             ballot.clear();
         }
@@ -710,12 +672,11 @@
     }
 
     private Verdict verdict(long now) {
-        boolean onTrial = news.phase() == News.Phase.ON_TRIAL;
-        if (state == State.ALARM && (onTrial || news.phase() == News.Phase.RELEASED)) {
+        if (state == State.ALARM && (news.onTrial() || news.released())) {
             return Verdict.BACK;
         }
-        if (!onTrial || rollout.control() == Control.CLOCKED) {
-            return onTrial && state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
+        if (!news.onTrial() || rollout.control() == Control.CLOCKED) {
+            return news.onTrial() && state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
         }
         long age = now - stageSinceNs;
         // The last 'on' takes the earlier pods away. Who has seen little waits: who has seen more may speak first.
@@ -763,7 +724,7 @@
                     if (loadNow(now) > MORE_LOAD * usualLoad.read(now, 0, 1e-9)) {
                         unsteadyUntilNs = now + SAMPLE_HALF_LIFE;
                     }
-                    if (news.phase() != News.Phase.ON_TRIAL) {
+                    if (!news.onTrial()) {
                         usualLoad.add(now, loadNow(now));
                     }
                     judge(now);
--- a/src/main/java/mulleinlever/Settings.java
+++ b/src/main/java/mulleinlever/Settings.java
@@ -9,7 +9,18 @@
 
     public enum Repeat { RETRIABLE, DEDUPED, NON_RETRIABLE }
 
-    public enum Scope { ALL, ZONE, CELL }
+    /** The pods that know a repeat for one. */
+    public enum Scope {
+        ALL, ZONE, CELL;
+
+        boolean holds(PodEntry one, PodEntry other) {
+            return switch (this) {
+                case ALL -> true;
+                case ZONE -> one.zone().equals(other.zone());
+                case CELL -> one.cell() == other.cell();
+            };
+        }
+    }
 
     public enum Control { SINGLE, MAJORITY, CLOCKED }
 
--- a/src/main/java/mulleinlever/drill/Drill.java
+++ b/src/main/java/mulleinlever/drill/Drill.java
@@ -162,9 +162,8 @@
         }
         switch (how) {
             case "delta" -> policy.listChanged(now, entries);
-            case "full" -> policy.listWhole(now, entries);
-            case "cached" -> policy.listRemembered(now, entries);
-            default -> throw l.bad("needs delta, full, cached or failed in how");
+            case "full", "cached" -> policy.listWhole(now, entries);
+                        default -> throw l.bad("needs delta, full, cached or failed in how");
         }
     }
 
--- a/src/test/java/mulleinlever/RulesTest.java
+++ b/src/test/java/mulleinlever/RulesTest.java
@@ -58,7 +58,7 @@
         for (int i = 0; i < 8; i++) {
             first.add(Bench.pod(i, 1, 0));
         }
-        bench.policy.listRemembered(bench.now, first);
+        bench.policy.listWhole(bench.now, first);
         first.forEach(this::entry);
         tell(news);
         for (int step = 0; step < 2_000; step++) {
