--- a/src/main/java/mulleinlever/News.java
+++ b/src/main/java/mulleinlever/News.java
@@ -4,6 +4,10 @@
 public record News(int build, int stage, Phase phase, double cap, long ageNs) {
     public enum Phase { ON_TRIAL, REVERTING, RELEASED, WITHDRAWN }
 
+    String name() {
+        return "build " + build + " stage " + stage;
+    }
+
     boolean onTrial() {
         return phase == Phase.ON_TRIAL;
     }
--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -39,7 +39,10 @@
         return sentCold.size();
     }
 
-    /** Takes a new line of the list; an id may come back as another machine, for which nothing of its past counts. */
+    /**
+     * Takes a new line of the list; an id may come back as another machine, for which nothing of its past
+     * counts.
+     */
     void take(PodEntry entry) {
         if (is.startedNs() != entry.startedNs() || is.build() != entry.build()) {
             strikes = 0;
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -16,10 +16,10 @@
 import mulleinlever.Settings.Scope;
 
 /**
- * Every decision of one sidecar: where a req goes, when it is tried again or given up, and how the sidecar votes.
+ * Every decision of one sidecar: where a req goes, when it is tried again or given up, how the sidecar votes.
  * Whoever hosts it calls one method for each thing that happens, with the time; it acts only by calling the
- * {@link Host} it was handed. Host and the plain value types beside it are the whole interface; docs/design.md
- * explains the mechanism and when each exception to it acts.
+ * {@link Host} it was handed. Host and the plain value types beside it are the whole interface.
+ * docs/design.md explains the mechanism and when each exception to it acts.
  */
 public final class Policy {
     private static final long MS = 1_000_000L;
@@ -38,14 +38,14 @@
     /** The sample is itself a sum over some seconds, so that one second of thin traffic raises no alarm. */
     private static final double SHORT_WEIGHT = 0.5;
     private static final long SAMPLE_HALF_LIFE = 10 * SECOND;
-    /** A try is late above this quantile of what the earlier build takes: lower drowns in noise, higher is rare. */
+    /** A try is late above this quantile of the earlier build: lower drowns in noise, higher is rare. */
     private static final double LATE_QUANTILE = 0.8;
     private static final double LATE_STEP = 0.04;
     /** Outcomes that the earlier build must have shown lately before its share is a sample. */
     private static final double REFERENCE_FLOOR = 5;
-    /** How much more than usual the pods must have to do before lateness on both builds is put down to that. */
+    /** How much more than usual the pods must have to do before lateness on all is put down to that. */
     private static final double MORE_LOAD = 1.25;
-    /** The part of the longest warming time in which a pod's outcomes say more of its cold than of its build. */
+    /** The part of the longest warming time in which outcomes tell of a pod's cold, not of its build. */
     private static final double FRESH_PART = 0.7;
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
@@ -73,7 +73,7 @@
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
-    /** What a cold pod may get, times what is due to one that can do so much: the rule allows more, by chance's slack. */
+    /** What a cold pod may get, times what one that can do so much gets: the rule leaves room for chance. */
     private static final double COLD_MARGIN = 1.25;
     private static final long TICK = 100 * MS;
     private static final long LINE_TICK = 25 * MS;
@@ -104,7 +104,8 @@
             double floor = Math.max(DEVIATION_FLOOR, Math.sqrt(sample * (1 - sample) / n));
             double above = (recent - mean) / Math.max(deviation, floor);
             boolean held = state == State.ALARM && above >= ALARM_CLEARS_AT;
-            state = above > ALARM_AT || held ? State.ALARM : above > SUSPECT_AT ? State.SUSPECT : State.NORMAL;
+            State open = above > SUSPECT_AT ? State.SUSPECT : State.NORMAL;
+            state = above > ALARM_AT || held ? State.ALARM : open;
         }
     }
 
@@ -180,7 +181,7 @@
         serveLines(now);
     }
 
-    /** Whether a watch still stands can't be told from the notice, so it is asked for again, ever more rarely. */
+    /** Whether a watch still stands can't be told from this, so it is asked for again, ever more rarely. */
     public void listFailed(long now) {
         watching = false;
         long most = Math.max(SECOND, set.rules().askWithinNs() / 3);
@@ -208,8 +209,9 @@
 
     /** By chance, the cheaper the more often: a full line would turn away the dear ones just as well. */
     private double shedChance(long now, Rq rq) {
-        double perNs = Math.max(1, pods.values().stream().mapToDouble(p -> p.completed.perSecond(now)).sum()) / SECOND;
-        double pressure = firstTries.size() / perNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
+        double perSecond = pods.values().stream().mapToDouble(p -> p.completed.perSecond(now)).sum();
+        double waitNs = firstTries.size() / Math.max(1, perSecond) * SECOND;
+        double pressure = waitNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
         double usual = rows.values().stream().mapToDouble(r -> earningsPerNs(now, r)).average().orElse(0);
         return Math.min(0.95, pressure * Math.min(2, usual / earningsPerNs(now, rq.row)));
     }
@@ -225,7 +227,7 @@
         }
     }
 
-    /** When waiting for a pod stops making sense: the answer would come after the latency objective, or never. */
+    /** When waiting stops making sense: the answer would come after the latency objective, or never. */
     private long lastChance(long now, Rq rq) {
         double objective = rq.row.is.objectiveNs();
         double wait = rq.tries.isEmpty() ? LINE_WAIT * objective : objective - meanNs(now, rq.row);
@@ -275,7 +277,7 @@
         if (onTrial(t.build())) {
             saved(t.build()).spend(lane(rq.row));
         }
-        // No time-out of our own: one that a busy pod misses is work done twice, and silent pods are found sooner.
+        // No time-out of our own: one that a busy pod misses is work done twice; silent pods show sooner.
         host.relay(rq.is.id(), pod.id, rq.dueNs - now - set.stepNs());
         return true;
     }
@@ -327,7 +329,7 @@
                 && (rq.provenNotRun() || rq.row.is.repeat() != Repeat.NON_RETRIABLE);
     }
 
-    /** The answer goes out at once; a shed reply where a repeat is harmless, so that the client may come back. */
+    /** The answer goes out at once: a shed reply where a repeat is harmless, so the client may return. */
     private void giveUp(long now, Rq rq) {
         rq.answered = true;
         if (rq.provenNotRun() || rq.row.is.repeat() == Repeat.RETRIABLE
@@ -363,7 +365,7 @@
         return pods.values().stream().filter(Pod::ready);
     }
 
-    /** Two random choices by load among the pods the req may go to, the first of them near where there is one. */
+    /** Two random choices by load among the pods the req may go to, the first a near one if there is any. */
     private Pod pick(long now, Rq rq) {
         List<Pod> may = new ArrayList<>(pods.values());
         may.removeIf(p -> !allowed(now, rq, p));
@@ -458,7 +460,7 @@
         }
     }
 
-    /** Fewer tries lie at the pods the longer answers take: what waits here can still be shed, or go elsewhere. */
+    /** Fewer tries lie at the pods the longer answers take: what waits here can be shed or go elsewhere. */
     private void makeRoom(long now) {
         double at = ease.read(now, 0, 1);
         if (at > AT_EASE) {
@@ -472,7 +474,7 @@
         return p.is.startedNs() > 0 && now < p.is.startedNs() + set.rules().warmAfterNs();
     }
 
-    /** Against pushing a cold pod over: what a warm pod gets from here, cut to the share the cold one can do. */
+    /** Against pushing a cold pod over: what a warm one gets from here, cut to the share it can do. */
     private boolean coldRoom(long now, Pod p) {
         if (!cold(now, p)) {
             return true;
@@ -483,7 +485,7 @@
         return p.sentColdAfter(now - set.rules().fallNs()) + 1 <= Math.max(1, most);
     }
 
-    /** What a warm pod of its kind completes for this sidecar; the last known where a release left only cold ones. */
+    /** What a warm pod of its kind completes from here; the last known if a release left only cold ones. */
     private double warmRate(long now, Pod cold) {
         ready().filter(p -> !cold(now, p) && p.is.kind().equals(cold.is.kind()))
                 .mapToDouble(p -> p.completed.perSecond(now)).average()
@@ -512,7 +514,7 @@
         return rollout.countedByRoute() ? row.at : 0;
     }
 
-    /** Against any window over the rule: each req earns its share, and no more than the free number is ever saved. */
+    /** So that no window exceeds the rule, each req earns its share and only the free number is saved. */
     private Saved saved(int build) {
         return exposure.computeIfAbsent(build, b -> new Saved(rows.size(), rollout.uncounted()));
     }
@@ -539,7 +541,7 @@
         return saved(build).enough(lane(rq.row));
     }
 
-    /** Where a key can't go back, the trial keeps to a part of the keys, so that their later reqs still have room. */
+    /** Where a key can't go back, the trial keeps to a part of the keys: their later reqs need room too. */
     private boolean oneWayKey(Rq rq, int build) {
         double own = ready().filter(p -> p.is.build() == build).count();
         double part = Math.min(ONE_WAY_PART * capOf(build), own / ready().count());
@@ -567,9 +569,9 @@
     }
 
     /**
-     * The trial's share, less what the earlier build's has shifted by as well: a burst or a lost zone is not the
-     * build's doing. But where the pods have no more to do than before and even the middle one is late, the build slows
-     * them all. By the middle pod, since hung, slow or pausing ones are the lesser part.
+     * The trial's share, less what the earlier build's shifted by: a burst or lost zone is not its doing.
+     * But where pods have no more to do than before and even the middle one is late, the build slows all:
+     * the middle one, since hung, slow or pausing pods are the lesser part.
      */
     private double sample(long now, int place, boolean ofLate, Detector d) {
         double share = share(now, trial, place, ofLate);
@@ -614,8 +616,8 @@
         for (int i = 0; i < detectors.length; i++) {
             Detector d = detectors[i];
             boolean ofLate = i % 2 == 1;
-            // Below the outcome floor all looks normal, so no trial's time is learned from: what slows its neighbours
-            // would be taken for theirs. Nor a release's: its faults would become the measure of themselves.
+            // Below the outcome floor all looks normal, so no trial is learned from: a build that slows
+            // its neighbours would be forgiven. Nor a release's: its faults would be their own measure.
             boolean first = news.released() && earlier.everEnded(rows.size()) == 0;
             Side steady = first ? trial : earlier;
             if (state == State.NORMAL && (first || !news.onTrial() && !news.released())
@@ -629,11 +631,12 @@
             }
             if (d.state.ordinal() > worst.ordinal()) {
                 worst = d.state;
-                why = String.format(", %s %.2f against %.2f", ofLate ? "late" : "failed or flagged", d.recent, d.mean);
+                String what = ofLate ? "late" : "failed or flagged";
+                why = String.format(", %s %.2f against %.2f", what, d.recent, d.mean);
             }
         }
         if (worst != state) {
-            host.log("build " + news.build() + " stage " + news.stage() + ": " + state + " to " + worst + why);
+            host.log(news.name() + ": " + state + " to " + worst + why);
         }
         state = worst;
     }
@@ -653,7 +656,7 @@
             }
         }
         if (other || news.stage() != told.stage() || news.phase() != told.phase()) {
-            host.log("build " + told.build() + " stage " + told.stage() + " " + told.phase());
+            host.log(told.name() + " " + told.phase());
             ballot.clear();
         }
         news = told;
@@ -662,7 +665,7 @@
         serveLines(now);
     }
 
-    /** A vote that got no good answer may count or not: it is cast again after a pause, not all sidecars at once. */
+    /** A vote with no good answer may count: it is cast again, after a pause that differs by sidecar. */
     public void voteAnswered(long now, boolean counts) {
         if (counts) {
             ballot.counted(rollout.voteStandsNs());
@@ -679,7 +682,7 @@
             return news.onTrial() && state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
         }
         long age = now - stageSinceNs;
-        // The last 'on' takes the earlier pods away. Who has seen little waits: who has seen more may speak first.
+        // The last 'on' takes the earlier pods away. Who has seen little waits for who has seen more.
         boolean proven = news.stage() < rollout.shares().size() - 1 || trial.everEnded(rows.size()) >= PROOF
                 || age > rollout.bakeNs() + PROOF_WAIT;
         return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
@@ -698,7 +701,7 @@
         }
     }
 
-    /** The voters are the lowest under a hash of build and stage; each later one stands in after a further wait. */
+    /** The voters are lowest under a hash of build and stage; each later one stands in after longer. */
     private long standInAfter(Verdict v) {
         int voters = switch (rollout.control()) {
             case SINGLE -> VOTERS;
--- a/src/main/java/mulleinlever/Settings.java
+++ b/src/main/java/mulleinlever/Settings.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /** What a sidecar is told at its start. Times are nanoseconds. */
-public record Settings(int rank, int sidecars, String zone, List<String> zones, boolean listMustBeAsked, long stepNs,
+public record Settings(int rank, int sidecars, String zone, List<String> zones, boolean listMustBeAsked,
+        long stepNs,
         double overShareEarnings, List<Route> routes, List<Tenant> tenants, Rollout rollout, Rules rules,
         Limits limits, Prices prices, ReportSource reports, boolean sizesGiven) {
 
@@ -31,9 +32,11 @@
 
     public record Tenant(String name, double quotaPerSecond, double share) { }
 
-    public record Rollout(Control control, boolean rolling, int onVotes, int backVotes, int holdVotes, long bakeNs,
+    public record Rollout(Control control, boolean rolling, int onVotes, int backVotes, int holdVotes,
+            long bakeNs,
             long movesAfterNs, long voteStandsNs, long voteWaitNs, double votesPerSecond, long newsEveryNs,
-            long tallyEveryNs, double tallySample, double complaintShare, List<Double> shares, List<Double> caps,
+            long tallyEveryNs, double tallySample, double complaintShare, List<Double> shares,
+                    List<Double> caps,
             long windowNs, double uncounted, boolean countedByRoute, int shieldedStages, boolean oneWay,
             boolean warmKeys, double staleBuildPrice, double damagePrice) { }
 
--- a/src/main/java/mulleinlever/Side.java
+++ b/src/main/java/mulleinlever/Side.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What one side, the build on trial or the earlier one, has shown lately: by route, and over all in the last place. */
+/**
+ * What one side, the build on trial or the earlier one, has shown lately: by route, and over all in the
+ * last place.
+ */
 final class Side {
     private final List<Decay> ended = new ArrayList<>();
     private final List<Decay> failed = new ArrayList<>();
--- a/src/main/java/mulleinlever/drill/Drill.java
+++ b/src/main/java/mulleinlever/drill/Drill.java
@@ -85,7 +85,8 @@
         switch (l.message) {
             case "ABOUT" -> about = l.text("sidecarId");
             case "DEFINE_LIST" -> define(l);
-            case "POWER_ON", "BACKENDS_CHANGED", "NEW_REQUEST", "ECHO", "HEAD_RECEIVED", "PEER_DATA", "PROMOTION",
+            case "POWER_ON", "BACKENDS_CHANGED", "NEW_REQUEST", "ECHO", "HEAD_RECEIVED", "PEER_DATA",
+                    "PROMOTION",
                     "CLIENT_GONE", "PLATFORM_SAW", "ELAPSED", "DETACH", "DISPUTED", "REPORT_BACK" -> {
                 if (about == null) {
                     throw l.bad("needs an ABOUT line before it");
@@ -99,7 +100,8 @@
     private void decide(Line l) {
         try {
             if (l.message.equals("POWER_ON")) {
-                running.put(about, new Policy(SettingsLine.read(l), l.whole("prng"), now, new WireHost(this, about)));
+                running.put(about, new Policy(SettingsLine.read(l), l.whole("prng"), now, new WireHost(this,
+                        about)));
                 return;
             }
             Policy policy = running.get(about);
@@ -111,7 +113,8 @@
             throw e;
         } catch (RuntimeException e) {
             StackTraceElement[] at = e.getStackTrace();
-            speak(about).append("BROKEN\tnoteText=").append(WireHost.oneLine(e + (at.length > 0 ? " at " + at[0] : "")))
+            speak(about).append("BROKEN\tnoteText=").append(WireHost.oneLine(e + (at.length > 0
+                    ? " at " + at[0] : "")))
                     .append('\n');
         }
     }
@@ -119,8 +122,10 @@
     private void call(Policy policy, Line l) {
         switch (l.message) {
             case "BACKENDS_CHANGED" -> list(policy, l);
-            case "NEW_REQUEST" -> policy.req(now, new Req(l.text("ticket"), l.text("cls"), l.flag("repeat", false),
-                    l.flag("isWrite", false), l.whole("expiresInNs"), l.whole("workNs", 0), l.whole("item", -1),
+            case "NEW_REQUEST" -> policy.req(now, new Req(l.text("ticket"), l.text("cls"), l.flag("repeat",
+                    false),
+                    l.flag("isWrite", false), l.whole("expiresInNs"), l.whole("workNs", 0), l.whole("item",
+                            -1),
                     tenant(l)));
             case "HEAD_RECEIVED" -> policy.streamBegan(now, l.text("ticket"));
             case "PROMOTION" -> news(policy, l);
@@ -130,7 +135,8 @@
             case "ELAPSED" -> policy.timer(now, l.text("nonce"));
             case "DETACH" -> running.remove(about);
             case "DISPUTED" -> policy.flagged(now, l.text("pod"), l.text("cls"));
-            default -> policy.tryEnded(now, l.text("ticket"), l.count("sendNo"), ending(l), l.whole("rttNs", 0),
+            default -> policy.tryEnded(now, l.text("ticket"), l.count("sendNo"), ending(l), l.whole("rttNs",
+                    0),
                     l.flag("complete", false));
         }
     }
@@ -144,7 +150,8 @@
                 throw new BadInput(l.no, "expected entry " + (i + 1) + " of " + n + ", found " + l.message);
             }
             entries.add(new PodEntry(l.text("pod"), l.text("locality", ""), l.text("model", ""),
-                    (int) l.whole("stripe", 0), (int) l.number("edition", 0), l.word("state", PodEntry.State.class),
+                    (int) l.whole("stripe", 0), (int) l.number("edition", 0), l.word("state",
+                            PodEntry.State.class),
                     l.number("capacityHint", 1), l.whole("readyAtNs", 0)));
         }
         lists.put(head.whole("ref"), entries);
@@ -177,7 +184,8 @@
             if (phase < 0 || phase >= PHASES.length) {
                 throw l.bad("needs 0 to 3 in whereAt");
             }
-            policy.news(now, new News(l.count("buildNo"), l.count("step"), PHASES[phase], l.number("exposure", 0),
+            policy.news(now, new News(l.count("buildNo"), l.count("step"), PHASES[phase],
+                    l.number("exposure", 0),
                     l.whole("ageNs", 0)));
         }
     }
--- a/src/test/java/mulleinlever/Bench.java
+++ b/src/test/java/mulleinlever/Bench.java
@@ -6,7 +6,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The tests' one helper: settings by route, and a host that keeps what a policy asks for and runs its timers. */
+/**
+ * The tests' one helper: settings by route, and a host that keeps what a policy asks for and runs its
+ * timers.
+ */
 final class Bench implements Host {
     static final long MS = 1_000_000L;
     static final long S = 1_000 * MS;
@@ -28,10 +31,13 @@
         return new Settings.Route(name, 500 * MS, 0, 2 * S, repeat, scope, 250 * MS, false, 0.2, 1);
     }
 
-    static Settings settings(Settings.Control control, boolean byRoute, int shielded, boolean oneWay, boolean ask,
+    static Settings settings(Settings.Control control, boolean byRoute, int shielded, boolean oneWay,
+            boolean ask,
             List<Settings.Route> routes) {
-        var rollout = new Settings.Rollout(control, false, 1, 1, control == Settings.Control.CLOCKED ? 1 : 0, S,
-                3 * S, 4 * S, S, 100, 2 * S, 0, 0, 0.2, List.of(0.1, 0.5, 1.0), List.of(0.2, 0.7, 1.0), 3 * S, 2,
+        var rollout = new Settings.Rollout(control, false, 1, 1, control == Settings.Control.CLOCKED ? 1
+                : 0, S,
+                3 * S, 4 * S, S, 100, 2 * S, 0, 0, 0.2, List.of(0.1, 0.5, 1.0), List.of(0.2, 0.7, 1.0),
+                        3 * S, 2,
                 byRoute, shielded, oneWay, false, 0.3, 4);
         var rules = new Settings.Rules(20 * MS, 500 * MS, 0.3, 4 * S, 2, S, 10 * S);
         var limits = new Settings.Limits(4, 20_000, true, true, false, true, S, 100, 250 * MS);
@@ -51,7 +57,8 @@
     }
 
     static PodEntry pod(int i, int build, long startedNs) {
-        return new PodEntry("pod" + i, i % 2 == 0 ? "a" : "b", "k", i % 2, build, PodEntry.State.READY, 1, startedNs);
+        return new PodEntry("pod" + i, i % 2 == 0 ? "a" : "b", "k", i % 2, build, PodEntry.State.READY, 1,
+                startedNs);
     }
 
     Bench pods(int count, int build) {
--- /dev/null
+++ b/src/test/java/mulleinlever/FailuresTest.java
@@ -0,0 +1,148 @@
+package mulleinlever;
+
+import static mulleinlever.Bench.MS;
+import static mulleinlever.Bench.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** One small test for each failure that was found. */
+class FailuresTest {
+    /** Answers reqs at a steady pace; {@code tookMs} says how long each takes, or nothing for a failure. */
+    private interface Answers {
+        long tookMs(PodEntry pod, int i);
+    }
+
+    private static int serve(Bench b, int seconds, Answers answers, List<PodEntry> pods) {
+        int from = b.sent.size();
+        for (int i = 0; i < seconds * 50; i++) {
+            String id = b.now + "";
+            b.req(id, "get", 2 * S);
+            if (b.sent.size() > 0 && b.last().rq().equals(id)) {
+                String at = b.last().pod();
+                long took = answers.tookMs(pods.stream().filter(p -> p.id().equals(at)).findFirst().get(), i);
+                b.end(id, 0, took > 0 ? Ending.OK : Ending.ERROR, Math.max(20, took) * MS);
+            }
+            b.pass(20 * MS);
+        }
+        return b.sent.size() - from;
+    }
+
+    private static List<PodEntry> fleet(Bench b, int old, int young) {
+        List<PodEntry> all = new ArrayList<>();
+        for (int i = 0; i < old + young; i++) {
+            all.add(Bench.pod(i, i < old ? 1 : 2, 0));
+        }
+        b.policy.listWhole(b.now, all);
+        return all;
+    }
+
+    private static Verdict verdict(Answers before, Answers during) {
+        Bench b = Bench.plain().news(1, 2, News.Phase.RELEASED, 1);
+        List<PodEntry> pods = fleet(b, 8, 0);
+        serve(b, 8, before, pods);
+        pods = fleet(b, 8, 4);
+        b.news(2, 1, News.Phase.ON_TRIAL, 0.7);
+        serve(b, 12, during, pods);
+        return b.votes.get(b.votes.size() - 1).verdict();
+    }
+
+    /** From 60 to 140 ms, in a fixed order. */
+    private static long usual(int i) {
+        return 60 + i * 37 % 81;
+    }
+
+    @Test
+    void alarmVotesBackOnErrorsAndOnLateness() {
+        assertEquals(Verdict.ON, verdict((p, i) -> usual(i), (p, i) -> usual(i)));
+        assertEquals(Verdict.BACK, verdict((p, i) -> usual(i), (p, i) -> p.build() == 2 && i % 3 == 0 ? 0 : usual(i)));
+        assertEquals(Verdict.BACK, verdict((p, i) -> usual(i), (p, i) -> usual(i) * (p.build() == 2 ? 3 : 1)));
+    }
+
+    @Test
+    void buildThatSlowsOldAndNewAlikeGoesBack() {
+        assertEquals(Verdict.BACK, verdict((p, i) -> usual(i), (p, i) -> 3 * usual(i)));
+    }
+
+    @Test
+    void earlierPodsThatFailAlikeAreNotTheBuildsDoing() {
+        assertEquals(Verdict.ON, verdict((p, i) -> usual(i), (p, i) -> i % 5 == 0 ? 0 : usual(i)));
+    }
+
+    @Test
+    void oneMistakenReportSendsNothingBack() {
+        Bench b = Bench.plain().news(1, 2, News.Phase.RELEASED, 1);
+        serve(b, 8, (p, i) -> usual(i), fleet(b, 8, 0));
+        List<PodEntry> pods = fleet(b, 8, 4);
+        b.news(2, 1, News.Phase.ON_TRIAL, 0.7);
+        serve(b, 4, (p, i) -> usual(i), pods);
+        b.policy.flagged(b.now, "pod9", "get");
+        serve(b, 4, (p, i) -> usual(i), pods);
+        assertTrue(b.votes.stream().noneMatch(v -> v.verdict() == Verdict.BACK));
+    }
+
+    @Test
+    void lastOnWaitsForProofButNotForEver() {
+        Bench b = Bench.plain().pods(4, 1).news(1, 2, News.Phase.RELEASED, 1).news(2, 2, News.Phase.ON_TRIAL, 1);
+        b.pass(5 * S);
+        assertTrue(b.votes.isEmpty());
+        b.pass(15 * S);
+        assertEquals(Verdict.ON, b.votes.get(0).verdict());
+    }
+
+    @Test
+    void keysAreFreeAgainWhenTheirBuildIsTakenOff() {
+        Bench b = Bench.start(Bench.settings(Settings.Control.SINGLE, false, 0, true, false, List.of(
+                Bench.route("get", Settings.Repeat.RETRIABLE, Settings.Scope.ALL))), 1);
+        b.policy.listWhole(b.now, List.of(Bench.pod(0, 2, 0)));
+        b.news(2, 2, News.Phase.RELEASED, 1);
+        b.policy.req(b.now, new Req("a", "get", false, false, S, 0, 7, null));
+        b.end("a", 0, Ending.OK, 50 * MS);
+        b.policy.listWhole(b.now, List.of(Bench.pod(1, 1, 0)));
+        b.policy.req(b.now, new Req("b", "get", false, false, S, 0, 7, null));
+        assertEquals(1, b.sent.size());
+        b.news(2, 2, News.Phase.WITHDRAWN, 0);
+        assertEquals("pod1", b.last().pod());
+    }
+
+    @Test
+    void silentPodIsLeftAndItsReqRescued() {
+        Bench b = Bench.plain().pods(2, 1).news(1, 2, News.Phase.RELEASED, 1);
+        b.req("a", "get", 2 * S);
+        String hung = b.last().pod();
+        b.pass(450 * MS);
+        assertTrue(b.cancelled.isEmpty());
+        b.pass(200 * MS);
+        for (int i = 0; i < 10; i++) {
+            b.req("more" + i, "get", 2 * S);
+            assertFalse(b.last().pod().equals(hung));
+            b.end("more" + i, 0, Ending.OK, 20 * MS);
+        }
+    }
+
+    @Test
+    void mostPodsFailingAlikeDoNotLeaveTheLoadToTheFew() {
+        Bench b = Bench.plain().news(1, 2, News.Phase.RELEASED, 1);
+        List<PodEntry> pods = fleet(b, 12, 0);
+        serve(b, 10, (p, i) -> !p.id().equals("pod0") && i % 3 == 0 ? 0 : 100, pods);
+        int from = b.sent.size();
+        serve(b, 10, (p, i) -> !p.id().equals("pod0") && i % 3 == 0 ? 0 : 100, pods);
+        var late = b.sent.subList(from, b.sent.size());
+        long toOne = late.stream().filter(s -> s.pod().equals("pod0")).count();
+        assertTrue(toOne < late.size() / 3, toOne + " of " + late.size());
+    }
+
+    @Test
+    void reqInLineIsAnsweredBeforeItsClientLeaves() {
+        Bench b = Bench.plain().news(1, 2, News.Phase.RELEASED, 1);
+        b.req("a", "get", 100 * MS);
+        b.pass(12 * MS);
+        b.req("b", "get", 33 * MS);
+        b.pass(33 * MS);
+        assertEquals("shed", b.answers.get("b"));
+    }
+}
--- a/src/test/java/mulleinlever/RulesTest.java
+++ b/src/test/java/mulleinlever/RulesTest.java
@@ -17,7 +17,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * A slow, plain model of the five rules beside the module on generated days. It keeps whole histories and looks through
+ * A slow, plain model of the five rules beside the module on generated days. It keeps whole histories and
+ * looks through
  * them at each send; it knows nothing of how the module keeps count.
  */
 class RulesTest {
@@ -45,13 +46,15 @@
     private int seen;
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23,
+            24})
     void moduleKeepsTheRules(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         Scope scope = Scope.values()[random.nextInt(3)];
         set = Bench.settings(Control.values()[random.nextInt(3)], random.nextBoolean(), random.nextInt(2),
                 random.nextBoolean(), random.nextBoolean(),
-                List.of(Bench.route("r", Repeat.RETRIABLE, Scope.ALL), Bench.route("d", Repeat.DEDUPED, scope),
+                List.of(Bench.route("r", Repeat.RETRIABLE, Scope.ALL), Bench.route("d", Repeat.DEDUPED,
+                        scope),
                         Bench.route("n", Repeat.NON_RETRIABLE, Scope.ALL)));
         bench = Bench.start(set, seed);
         List<PodEntry> first = new ArrayList<>();
@@ -129,7 +132,8 @@
 
     private void pods(SplittableRandom random) {
         int i = random.nextInt(14);
-        PodEntry e = Bench.pod(i, i < 8 ? 1 : news.build() + random.nextInt(2), bench.now - random.nextInt(500) * MS);
+        PodEntry e = Bench.pod(i, i < 8 ? 1 : news.build() + random.nextInt(2),
+                bench.now - random.nextInt(500) * MS);
         int what = random.nextInt(5);
         if (what < 2 && list.containsKey(e.id())) {
             PodEntry was = list.get(e.id());
@@ -142,7 +146,8 @@
 
     private void rollout(SplittableRandom random) {
         News.Phase phase = News.Phase.values()[random.nextInt(3)];
-        int build = news.phase() == News.Phase.ON_TRIAL || random.nextBoolean() ? news.build() : news.build() + 1;
+        int build = news.phase() == News.Phase.ON_TRIAL || random.nextBoolean() ? news.build()
+                : news.build() + 1;
         int stage = random.nextInt(3);
         double cap = phase == News.Phase.REVERTING ? 0 : set.rollout().caps().get(stage);
         tell(new News(Math.max(2, build), stage, phase, cap, 0));
@@ -175,10 +180,13 @@
             if (!done.containsKey(id)) {
                 done.put(id, what);
                 Repeat repeat = repeatOf(id);
-                boolean mayHaveRun = endings.getOrDefault(id, List.of()).stream().anyMatch(e -> !e.neverRan());
-                assertTrue(bench.now <= takenAt.get(id) + taken.get(id).expiresInNs() + 20 * MS, "answered late");
+                boolean mayHaveRun = endings.getOrDefault(id,
+                        List.of()).stream().anyMatch(e -> !e.neverRan());
+                assertTrue(bench.now <= takenAt.get(id) + taken.get(id).expiresInNs() + 20 * MS,
+                        "answered late");
                 assertFalse(what.equals("shed") && mayHaveRun && (repeat == Repeat.NON_RETRIABLE
-                        || repeat == Repeat.DEDUPED && set.routes().get(1).scope() != Scope.ALL), "shed may have run");
+                        || repeat == Repeat.DEDUPED && set.routes().get(1).scope() != Scope.ALL),
+                                "shed may have run");
             }
         });
         for (; seen < bench.sent.size(); seen++) {
@@ -187,14 +195,16 @@
     }
 
     private Repeat repeatOf(String id) {
-        return set.routes().stream().filter(r -> r.name().equals(taken.get(id).route())).findFirst().get().repeat();
+        return set.routes().stream().filter(r -> r.name().equals(taken.get(id).route()))
+                .findFirst().get().repeat();
     }
 
     private void sent(Bench.Sent s) {
         PodEntry pod = list.get(s.pod());
         Req rq = taken.get(s.rq());
         assertFalse(done.containsKey(s.rq()), "sent after the answer");
-        assertFalse(s.atNs() > goneSince.getOrDefault(s.pod(), Long.MAX_VALUE - S) + 500 * MS, "sent to a drained pod");
+        assertFalse(s.atNs() > goneSince.getOrDefault(s.pod(), Long.MAX_VALUE - S) + 500 * MS,
+                "sent to a drained pod");
         repeats(s, pod);
         exposure(s, pod, rq);
         if (s.atNs() < pod.startedNs() + set.rules().warmAfterNs()) {
@@ -228,7 +238,8 @@
                 Scope scope = set.routes().get(1).scope();
                 assertTrue(scope == Scope.ALL || scope == Scope.ZONE && ran.zone().equals(pod.zone())
                         || scope == Scope.CELL && ran.cell() == pod.cell(), "sent outside its group");
-                assertTrue(s.atNs() < before.get(i).atNs() + set.routes().get(1).dedupNs(), "sent too late to drop");
+                assertTrue(s.atNs() < before.get(i).atNs() + set.routes().get(1).dedupNs(),
+                        "sent too late to drop");
                 break;
             }
         }
@@ -246,7 +257,8 @@
         double cap = announced ? news.cap() : set.rollout().caps().get(0);
         int stage = announced ? news.stage() : 0;
         assertTrue(cap > 0, "sent at cap 0");
-        assertTrue(stage >= set.rollout().shieldedStages() || rq.route().equals("r"), "sent through the shield");
+        assertTrue(stage >= set.rollout().shieldedStages() || rq.route().equals("r"),
+                "sent through the shield");
         exposed.add(new Object[] {s.atNs(), pod.build(), rq.route()});
         // Each window that ends here, since the last change of the cap and no longer than the rule's.
         long since = announced ? caps.get(caps.size() - 1).atNs() : 0;
