--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -419,9 +419,10 @@
         if (ok || ending == Ending.TIMEOUT) {
             p.slowness.add(now, tookNs / meanNs(now, row));
             row.times.add(now, tookNs);
-            ease.add(now, tookNs / (double) row.is.objectiveNs());
         }
         if (ok) {
+            // Of answers alone: what hung pods never answered is no reason to turn away what others could do.
+            ease.add(now, tookNs / (double) row.is.objectiveNs());
             p.completed.add(now, 1);
             // A pod that fails half of its tries must not be cleared by one lucky answer.
             p.strikes = Math.max(0, p.strikes - 1);
