--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -69,6 +69,8 @@
     private static final double ROOM_FIRST = 60;
     /** What waits in line longer, in shares of its latency objective, would come late from a strained pod. */
     private static final double LINE_WAIT = 0.35;
+    /** How many times sooner a cheap req is shed than a usual one, by the square of earnings for the time taken. */
+    private static final double CHEAP_MOST = 4;
     /** How much less loaded a far pod must be, where tries that cross zones cost. */
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
@@ -213,7 +215,7 @@
         double waitNs = firstTries.size() / Math.max(1, perSecond) * SECOND;
         double pressure = waitNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
         double usual = rows.values().stream().mapToDouble(r -> earningsPerNs(now, r)).average().orElse(0);
-        return Math.min(0.95, pressure * Math.min(2, usual / earningsPerNs(now, rq.row)));
+        return Math.min(0.95, pressure * Math.min(CHEAP_MOST, Math.pow(usual / earningsPerNs(now, rq.row), 2)));
     }
 
     private double earningsPerNs(long now, Row row) {
@@ -406,8 +408,6 @@
                 || rq.row.is.scope().holds(rq.mayHaveRun.pod().is, p.is);
     }
 
-    // ---- The pods' health, and the room for open tries.
-
     private double meanNs(long now, Row row) {
         return row.times.read(now, row.is.objectiveNs() / 4.0, 1);
     }
@@ -694,7 +694,6 @@
         ballot.want(now, v);
         boolean waits = ballot.asked != null && now < ballot.askedNs + rollout.voteWaitNs() + SECOND
                 || now < ballot.againNs;
-        // A vote is renewed before it lapses.
         boolean stands = ballot.standsAt(now) == v && ballot.standsAt(now + rollout.voteStandsNs() / 4) == v;
         if (!waits && !stands && (v == Verdict.NONE || now >= ballot.wantedSinceNs + standInAfter(v))) {
             ballot.ask(now);
