--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -69,8 +69,8 @@
     private static final double ROOM_FIRST = 60;
     /** What waits in line longer, in shares of its latency objective, would come late from a strained pod. */
     private static final double LINE_WAIT = 0.35;
-    /** How many times sooner a cheap req is shed than a usual one, by the square of earnings for the time taken. */
-    private static final double CHEAP_MOST = 4;
+    /** How many times sooner than a usual req a cheap one is shed, by its earnings for the time taken. */
+    private static final double CHEAPEST = 4;
     /** How much less loaded a far pod must be, where tries that cross zones cost. */
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
@@ -214,8 +214,8 @@
         double perSecond = pods.values().stream().mapToDouble(p -> p.completed.perSecond(now)).sum();
         double waitNs = firstTries.size() / Math.max(1, perSecond) * SECOND;
         double pressure = waitNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
-        double usual = rows.values().stream().mapToDouble(r -> earningsPerNs(now, r)).average().orElse(0);
-        return Math.min(0.95, pressure * Math.min(CHEAP_MOST, Math.pow(usual / earningsPerNs(now, rq.row), 2)));
+        double mean = rows.values().stream().mapToDouble(r -> earningsPerNs(now, r)).average().orElse(0);
+        return Math.min(0.95, pressure * Math.min(CHEAPEST, Math.pow(mean / earningsPerNs(now, rq.row), 2)));
     }
 
     private double earningsPerNs(long now, Row row) {
