Cold pods get an even share of each sidecar's load, from a random start

Cause: a try in each window was always allowed, so hundreds of sidecars told at once could each send one to a pod just started. It could harm where most pods are cold and load is high: reqs wait.

--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -1,7 +1,5 @@
 package mulleinlever;
 
-import java.util.ArrayDeque;
-
 /** A pod as this sidecar knows it: its line of the list, and what its tries have shown. */
 final class Pod {
     final String id;
@@ -13,37 +11,25 @@
     long sickUntilNs;
     final Mean slowness;
     final Mean late;
-    final Decay completed;
-    private final ArrayDeque<Long> sentCold = new ArrayDeque<>();
+    double coldLeft;
+    long coldAtNs;
 
     Pod(PodEntry is, long halfLifeNs) {
         this.id = is.id();
         this.is = is;
         this.slowness = new Mean(halfLifeNs);
         this.late = new Mean(2 * halfLifeNs);
-        this.completed = new Decay(halfLifeNs);
     }
 
     boolean ready() {
         return is.state() == PodEntry.State.READY;
     }
 
-    void sendCold(long nowNs) {
-        sentCold.add(nowNs);
-    }
-
-    int sentColdAfter(long ns) {
-        while (!sentCold.isEmpty() && sentCold.peek() <= ns) {
-            sentCold.poll();
-        }
-        return sentCold.size();
-    }
-
     /** Takes a new line of the list. An id may come back as another machine: its past counts for nothing. */
     void take(PodEntry entry) {
         if (is.startedNs() != entry.startedNs() || is.build() != entry.build()) {
             strikes = 0;
-            sentCold.clear();
+            coldAtNs = 0;
         }
         is = entry;
     }
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -126,6 +126,8 @@
     private int open;
     private long unsteadyUntilNs;
     private final Decay sent = new Decay(2 * SECOND);
+    private final Decay taken = new Decay(MEASURE_HALF_LIFE);
+    private final Decay completed = new Decay(MEASURE_HALF_LIFE);
     private final Mean usualLoad = new Mean(2 * MEASURE_HALF_LIFE);
     private long wakeNs;
 
@@ -135,7 +137,6 @@
 
     private final Map<Integer, Saved> exposure = new HashMap<>();
     private final Map<Long, Integer> answeredBy = new HashMap<>();
-    private final Map<String, Double> warmRates = new HashMap<>();
 
     private News news;
     private long stageSinceNs;
@@ -201,6 +202,7 @@
     public void req(long now, Req req) {
         Rq rq = new Rq(req, rows.get(req.route()), now);
         held.put(req.id(), rq);
+        taken.add(now, 1);
         earnExposure(rq.row);
         if (random.nextDouble() < shedChance(now, rq)) {
             giveUp(now, rq);
@@ -211,8 +213,7 @@
 
     /** By chance, the cheaper the more often: a full line would turn away the dear ones just as well. */
     private double shedChance(long now, Rq rq) {
-        double perSecond = pods.values().stream().mapToDouble(p -> p.completed.perSecond(now)).sum();
-        double waitNs = firstTries.size() / Math.max(1, perSecond) * SECOND;
+        double waitNs = firstTries.size() / Math.max(1, completed.perSecond(now)) * SECOND;
         double pressure = waitNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
         double mean = rows.values().stream().mapToDouble(r -> earningsPerNs(now, r)).average().orElse(0);
         return Math.min(0.95, pressure * Math.min(CHEAPEST, Math.pow(mean / earningsPerNs(now, rq.row), 2)));
@@ -263,7 +264,6 @@
         if (pod == null) {
             return false;
         }
-        boolean cold = cold(now, pod);
         boolean fresh = now < pod.is.startedNs() + FRESH_PART * set.rules().warmAfterNs();
         Try t = new Try(pod, now, !fresh, pod.is.build());
         rq.tries.add(t);
@@ -272,8 +272,8 @@
         rq.mayHaveRun = rq.mayHaveRun == null ? t : rq.mayHaveRun;
         pod.owesSinceNs = pod.open++ == 0 ? now : pod.owesSinceNs;
         open++;
-        if (cold) {
-            pod.sendCold(now);
+        if (cold(now, pod)) {
+            pod.coldLeft--;
         }
         sent.add(now, onTrial(t.build()) ? 0 : 1);
         if (onTrial(t.build())) {
@@ -425,7 +425,7 @@
         if (ok) {
             // Of answers alone: what hung pods never answered is no reason to turn away what others could do.
             ease.add(now, tookNs / (double) row.is.objectiveNs());
-            p.completed.add(now, 1);
+            completed.add(now, 1);
             // A pod that fails half of its tries must not be cleared by one lucky answer.
             p.strikes = Math.max(0, p.strikes - 1);
         } else if (ending != Ending.FULL) {
@@ -476,23 +476,28 @@
         return p.is.startedNs() > 0 && now < p.is.startedNs() + set.rules().warmAfterNs();
     }
 
-    /** Against pushing a cold pod over: what a warm one gets from here, cut to the share it can do. */
+    /**
+     * Against a cold pod pushed over by all sidecars together: each keeps to its even share of the load, cut
+     * to what the pod can do. It starts at random within its first turn: hundreds are told of a pod at once.
+     */
     private boolean coldRoom(long now, Pod p) {
         if (!cold(now, p)) {
             return true;
         }
         double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
-        double most = COLD_MARGIN * can * warmRate(now, p) * set.rules().fallNs() / SECOND + 0.5;
-        return p.sentColdAfter(now - set.rules().fallNs()) + 1 <= Math.max(1, most);
-    }
-
-    /** What a warm pod of its kind completes from here; the last known if a release left only cold ones. */
-    private double warmRate(long now, Pod cold) {
-        ready().filter(p -> !cold(now, p) && p.is.kind().equals(cold.is.kind()))
-                .mapToDouble(p -> p.completed.perSecond(now)).average()
-                .ifPresent(rate -> warmRates.put(cold.is.kind(), rate));
-        return warmRates.getOrDefault(cold.is.kind(), 0.0);
+        double rate = COLD_MARGIN * can * evenShare(now, p);
+        double most = Math.max(1, rate * set.rules().fallNs() / SECOND);
+        p.coldLeft = p.coldAtNs == 0 ? random.nextDouble()
+                : Math.min(most, p.coldLeft + rate * (now - p.coldAtNs) / SECOND);
+        p.coldAtNs = now;
+        return p.coldLeft >= 1;
+    }
+
+    /** What each pod would complete a second from here if all did alike; before any did, what comes in. */
+    private double evenShare(long now, Pod p) {
+        double all = completed.perSecond(now) > 0 ? completed.perSecond(now) : taken.perSecond(now);
+        return all * p.is.weight() / ready().mapToDouble(q -> q.is.weight()).sum();
     }
 
     // ---- Exposure.
