Pods are drawn by chance and checked, not ranked; one survey a tick

Cause: each req filtered the whole list several times over, and each event went through the lines. A pod is now drawn and checked, all are gone through only where hardly any suits, and what concerns the fleet is surveyed at each change of the list, the news and tick. Two random choices by load are as before.

--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -1,5 +1,7 @@
 package mulleinlever;
 
+import java.util.SplittableRandom;
+
 /** A pod as this sidecar knows it: its line of the list, and what its tries have shown. */
 final class Pod {
     final String id;
@@ -12,7 +14,7 @@
     final Mean slowness;
     final Mean late;
     double coldLeft;
-    long coldAtNs;
+    private long coldAtNs;
 
     Pod(PodEntry is, long halfLifeNs) {
         this.id = is.id();
@@ -25,6 +27,14 @@
         return is.state() == PodEntry.State.READY;
     }
 
+    /** What is saved up for a cold pod at a rate a second, up to a limit, from a random start below 1. */
+    double saveCold(long nowNs, double rate, double most, SplittableRandom random) {
+        coldLeft = coldAtNs == 0 ? random.nextDouble()
+                : Math.min(most, coldLeft + rate * (nowNs - coldAtNs) / 1e9);
+        coldAtNs = nowNs;
+        return coldLeft;
+    }
+
     /** Takes a new line of the list. An id may come back as another machine: its past counts for nothing. */
     void take(PodEntry entry) {
         if (is.startedNs() != entry.startedNs() || is.build() != entry.build()) {
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -4,15 +4,14 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Predicate;
-import java.util.stream.Stream;
 import mulleinlever.Settings.Control;
 import mulleinlever.Settings.Repeat;
-import mulleinlever.Settings.Rollout;
 import mulleinlever.Settings.Scope;
 
 /**
@@ -60,6 +59,8 @@
     private static final long SICK_FOR_MOST = 8 * SECOND;
     private static final int SICK_STRIKES = 3;
     private static final int MOST_STRIKES = 6;
+    /** Pods looked at by chance before all are gone through. */
+    private static final int DRAWS = 16;
     /** Pods rest only while this part of those a req may go to is left. */
     private static final double PANIC_PART = 0.5;
     /** A pod that owes answers and gave none for so many mean times of the slowest route is silent. */
@@ -112,11 +113,18 @@
     }
 
     private final Settings set;
-    private final Rollout rollout;
+    private final Settings.Rollout rollout;
     private final Host host;
     private final SplittableRandom random;
     private final Map<String, Row> rows = new LinkedHashMap<>();
     private final Map<String, Pod> pods = new LinkedHashMap<>();
+    // Surveyed at each change and tick, so that no req costs more on a larger fleet.
+    private List<Pod> ready = List.of();
+    private List<Pod> near = List.of();
+    private List<Pod> trialPods = List.of();
+    private double weights;
+    private double silentAfterNs;
+    private boolean panic;
 
     private final Map<String, Rq> held = new LinkedHashMap<>();
     private final ArrayDeque<Rq> firstTries = new ArrayDeque<>();
@@ -181,9 +189,21 @@
         watching = true;
         asksFailed = 0;
         entries.forEach(e -> pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e));
+        survey(now);
         serveLines(now);
     }
 
+    private void survey(long now) {
+        ready = pods.values().stream().filter(Pod::ready).toList();
+        near = ready.stream().filter(this::near).toList();
+        trialPods = ready.stream().filter(p -> onTrial(p.is.build())).toList();
+        trialPods.forEach(p -> saved(p.is.build()));
+        weights = ready.stream().mapToDouble(p -> p.is.weight()).sum();
+        double slowest = rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
+        silentAfterNs = SILENCE_MEANS * slowest;
+        panic = ready.stream().filter(p -> fit(now, p)).count() < PANIC_PART * ready.size();
+    }
+
     /** Whether a watch still stands can't be told from this, so it is asked for again, ever more rarely. */
     public void listFailed(long now) {
         watching = false;
@@ -246,15 +266,19 @@
     }
 
     private void serve(long now, ArrayDeque<Rq> line) {
+        // What finds no pod for one first try finds none for the next of its route: a long line costs little.
+        Set<Row> stuck = new HashSet<>();
         for (Rq rq : List.copyOf(line)) {
-            boolean over = now >= lastChance(now, rq);
-            if (over && !rq.answered) {
+            if (now >= lastChance(now, rq) && !rq.answered) {
                 giveUp(now, rq);
             }
-            if (rq.answered || send(now, rq)) {
+            if (rq.answered || !stuck.contains(rq.row) && send(now, rq)) {
                 line.remove(rq);
             } else {
                 wake(Math.min(now + LINE_TICK, lastChance(now, rq)));
+                if (rq.tries.isEmpty()) {
+                    stuck.add(rq.row);
+                }
             }
         }
     }
@@ -363,35 +387,33 @@
 
     // ---- Choosing a pod.
 
-    private Stream<Pod> ready() {
-        return pods.values().stream().filter(Pod::ready);
-    }
-
     /** Two random choices by load among the pods the req may go to, the first a near one if there is any. */
     private Pod pick(long now, Rq rq) {
-        List<Pod> may = new ArrayList<>(pods.values());
-        may.removeIf(p -> !allowed(now, rq, p));
-        // Where most pods fail, resting them would jam the few: then they are no worse than the rest.
-        prefer(may, PANIC_PART, p -> fit(now, p));
-        prefer(may, 0, p -> rq.tries.stream().noneMatch(t -> t.pod() == p));
-        if (rollout.oneWay()) {
-            prefer(may, 0, p -> onTrial(p.is.build()));
-        }
-        if (may.isEmpty()) {
-            return null;
+        List<Pod> of = rollout.oneWay() && draw(now, rq, trialPods, true) != null ? trialPods : ready;
+        Pod a = draw(now, rq, of == ready ? near : of, false);
+        Pod b = draw(now, rq, of, false);
+        if (a == null && b == null) {
+            return draw(now, rq, of, true);
+        }
+        return a == null || b != null && load(now, b) < load(now, a) ? b : a;
+    }
+
+    /** One at random of those that suit the req, at the cost of a few looks unless hardly any does. */
+    private Pod draw(long now, Rq rq, List<Pod> from, boolean lastResort) {
+        int at = 0;
+        for (int i = 0; i < DRAWS + from.size() && !from.isEmpty(); i++) {
+            at = i < DRAWS ? random.nextInt(from.size()) : (at + 1) % from.size();
+            Pod p = from.get(at);
+            if ((lastResort || suits(now, rq, p)) && allowed(now, rq, p)) {
+                return p;
+            }
         }
-        List<Pod> near = new ArrayList<>(may);
-        prefer(near, 0, this::near);
-        Pod a = near.get(random.nextInt(near.size()));
-        Pod b = may.get(random.nextInt(may.size()));
-        return load(now, b) < load(now, a) ? b : a;
+        return null;
     }
 
-    private static void prefer(List<Pod> from, double part, Predicate<Pod> wish) {
-        long some = from.stream().filter(wish).count();
-        if (some > 0 && some >= part * from.size()) {
-            from.removeIf(wish.negate());
-        }
+    /** Where most pods fail, resting them would jam the few: then they are no worse than the rest. */
+    private boolean suits(long now, Rq rq, Pod p) {
+        return (panic || fit(now, p)) && rq.tries.stream().noneMatch(t -> t.pod() == p);
     }
 
     private boolean near(Pod p) {
@@ -442,8 +464,7 @@
 
     /** Hung, cut off, paused or jammed: whatever the cause, it owes answers and has given none for long. */
     private boolean silent(long now, Pod p) {
-        double slowest = rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
-        return p.open > 0 && now - p.owesSinceNs > SILENCE_MEANS * slowest;
+        return p.open > 0 && now - p.owesSinceNs > silentAfterNs;
     }
 
     /** Calls back what lies at silent pods, where it may still go elsewhere in time. */
@@ -466,7 +487,7 @@
     private void makeRoom(long now) {
         double at = ease.read(now, 0, 1);
         if (at > AT_EASE) {
-            room = Math.max(ready().count(), room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
+            room = Math.max(ready.size(), room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
         } else if (open > 0.8 * room) {
             room *= 1.02;
         }
@@ -488,16 +509,13 @@
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
         double rate = COLD_MARGIN * can * evenShare(now, p);
         double most = Math.max(1, rate * set.rules().fallNs() / SECOND);
-        p.coldLeft = p.coldAtNs == 0 ? random.nextDouble()
-                : Math.min(most, p.coldLeft + rate * (now - p.coldAtNs) / SECOND);
-        p.coldAtNs = now;
-        return p.coldLeft >= 1;
+        return p.saveCold(now, rate, most, random) >= 1;
     }
 
     /** What each pod would complete a second from here if all did alike; before any did, what comes in. */
     private double evenShare(long now, Pod p) {
         double all = completed.perSecond(now) > 0 ? completed.perSecond(now) : taken.perSecond(now);
-        return all * p.is.weight() / ready().mapToDouble(q -> q.is.weight()).sum();
+        return all * p.is.weight() / weights;
     }
 
     // ---- Exposure.
@@ -527,7 +545,6 @@
     }
 
     private void earnExposure(Row row) {
-        pods.values().stream().map(p -> p.is.build()).filter(this::onTrial).forEach(this::saved);
         exposure.forEach((build, saved) -> saved.earn(lane(row), capOf(build)));
     }
 
@@ -550,8 +567,7 @@
 
     /** Where a key can't go back, the trial keeps to a part of the keys: their later reqs need room too. */
     private boolean oneWayKey(Rq rq, int build) {
-        double own = ready().filter(p -> p.is.build() == build).count();
-        double part = Math.min(ONE_WAY_PART * capOf(build), own / ready().count());
+        double part = Math.min(ONE_WAY_PART * capOf(build), trialPods.size() / (double) ready.size());
         return answeredBy.getOrDefault(rq.is.key(), 0) == build
                 || new SplittableRandom(rq.is.key()).nextDouble() < part;
     }
@@ -590,14 +606,14 @@
     }
 
     private double middleLate(long now) {
-        double[] late = ready().filter(p -> !cold(now, p))
+        double[] late = ready.stream().filter(p -> !cold(now, p))
                 .mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
         return late.length == 0 ? 0 : late[(late.length - 1) / 2];
     }
 
     /** What this sidecar sends a second to each fit pod that is not on trial. */
     private double loadNow(long now) {
-        long fit = ready().filter(p -> !onTrial(p.is.build()) && fit(now, p)).count();
+        long fit = ready.stream().filter(p -> !onTrial(p.is.build()) && fit(now, p)).count();
         return sent.perSecond(now) / Math.max(1, fit);
     }
 
@@ -668,6 +684,7 @@
         }
         news = told;
         stageSinceNs = now - told.ageNs();
+        survey(now);
         vote(now);
         serveLines(now);
     }
@@ -742,6 +759,7 @@
             }
             case "tick" -> {
                 host.timer(now + TICK, token);
+                survey(now);
                 makeRoom(now);
                 if (set.limits().cancel()) {
                     rescue(now);
