The platform's tallies count as evidence beside the sidecar's own outcomes

Cause: at size one sidecar sees fewer than 20 outcomes of the trial while its stages pass, so its state was normal by definition and builds that slow everything were released. The share late is what times of the tally's mean would have; periods in which pods of the build may have been fresh give no times. The mark for late follows the mean of own times and tallies before the trial. Flags are set against own tries only: a tally shows no wrong answers. It could harm where most servers are slow for another reason than the build.

--- a/src/main/java/mulleinlever/Mean.java
+++ b/src/main/java/mulleinlever/Mean.java
@@ -11,8 +11,12 @@
     }
 
     void add(long nowNs, double x) {
-        sum.add(nowNs, x);
-        count.add(nowNs, 1);
+        add(nowNs, x, 1);
+    }
+
+    void add(long nowNs, double x, double n) {
+        sum.add(nowNs, x * n);
+        count.add(nowNs, n);
     }
 
     double read(long nowNs, double lean, double leanCount) {
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -39,7 +39,8 @@
     private static final long SAMPLE_HALF_LIFE = 10 * SECOND;
     /** A try is late above this quantile of the earlier build: lower drowns in noise, higher is rare. */
     private static final double LATE_QUANTILE = 0.8;
-    private static final double LATE_STEP = 0.04;
+    /** Where that quantile lies, in mean times, if these fall off evenly as most do. */
+    private static final double LATE_MEANS = -Math.log(1 - LATE_QUANTILE);
     /** Outcomes that the earlier build must have shown lately before its share is a sample. */
     private static final double REFERENCE_FLOOR = 5;
     /** How much more than usual the pods must have to do before lateness on all is put down to that. */
@@ -583,14 +584,40 @@
         boolean late = tookNs > row.lateNs;
         t.pod().late.add(now, late ? 1 : 0);
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
-        (judged ? trial : earlier).end(now, row.at, failed, late);
-        // Not learned while a trial is on: a build that slows down its neighbours too would be forgiven.
-        if (ending == Ending.OK && !news.onTrial() && judged == news.released()) {
-            double step = Math.max(LATE_STEP, 3.0 / (6 + row.lateSeen++));
-            row.lateNs *= tookNs > row.lateNs ? 1 + step * LATE_QUANTILE : 1 - step * (1 - LATE_QUANTILE);
+        (judged ? trial : earlier).own(now, row.at, failed, late);
+        if (ending == Ending.OK) {
+            learnLate(now, row, t.build(), tookNs, 1);
+        }
+    }
+
+    /** Not learned while a trial is on: a build that slows down its neighbours too would be forgiven. */
+    private void learnLate(long now, Row row, int build, long tookNs, double n) {
+        if (!news.onTrial() && (build == news.build()) == news.released()) {
+            row.usual.add(now, tookNs, n);
+            row.lateNs = LATE_MEANS * row.usual.read(now, 0, 1e-9);
         }
     }
 
+    /**
+     * The platform's count of all sidecars' tries, where one sees too few for a verdict. Times tell nothing
+     * while pods of the build may have been fresh; else the share late is what times of such a mean have.
+     */
+    public void tally(long now, String route, int build, double n, double failed, long meanNs, long ageNs) {
+        Row row = rows.get(route);
+        if (row == null || news == null || build > news.build() || !(n > 0) || meanNs <= 0) {
+            return;
+        }
+        double done = Math.max(0, n - failed);
+        long began = now - ageNs - rollout.tallyEveryNs();
+        boolean fresh = ready.stream().anyMatch(p -> p.is.build() == build && p.is.startedNs() > 0
+                && began < p.is.startedNs() + FRESH_PART * set.rules().warmAfterNs());
+        if (!fresh) {
+            learnLate(now, row, build, meanNs, done);
+        }
+        Side side = build == news.build() ? trial : earlier;
+        side.tallied(now, row.at, n, failed, fresh ? 0 : n, done * Math.exp(-row.lateNs / meanNs));
+    }
+
     /**
      * The trial's share, less what the earlier build's shifted by: a burst or lost zone is not its doing.
      * But where pods have no more to do than before and even the middle one is late, the build slows all:
@@ -598,7 +625,7 @@
      */
     private double sample(long now, int place, boolean ofLate, Detector d) {
         double share = share(now, trial, place, ofLate);
-        boolean reference = earlier.ended(now, place) >= OUTCOME_FLOOR;
+        boolean reference = earlier.seen(now, place, ofLate) >= OUTCOME_FLOOR;
         double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
         double apart = Math.max(0, Math.min(1, share - (ofLate ? shift : Math.max(0, shift))));
         boolean whole = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
@@ -619,18 +646,21 @@
 
     public void flagged(long now, String podId, String route) {
         Pod p = pods.get(podId);
-        if (p == null || news == null || p.is.build() > news.build() || rollout.complaintShare() <= 0) {
+        Row row = rows.get(route);
+        if (p == null || row == null || news == null || p.is.build() > news.build()) {
             return;
         }
-        (p.is.build() == news.build() ? trial : earlier).flag(now, rows.get(route).at);
+        (p.is.build() == news.build() ? trial : earlier).flag(now, row.at);
     }
 
     private double share(long now, Side side, int place, boolean ofLate) {
-        double flags = side.flags(now, place);
+        if (ofLate) {
+            return side.late(now, place);
+        }
         // One report stands for all the wrong answers that nobody reported; but a few may be mistaken.
+        double flags = side.flags(now, place);
         double wrong = flags < FLAG_FLOOR ? 0 : flags / rollout.complaintShare();
-        double of = ofLate ? side.late(now, place) : side.failed(now, place) + wrong;
-        return Math.min(1, of / Math.max(1, side.ended(now, place)));
+        return Math.min(1, side.failed(now, place) + wrong / Math.max(1, side.relayed(now, place)));
     }
 
     private void judge(long now) {
@@ -638,18 +668,18 @@
         String why = "";
         // Below the outcome floor all looks normal, so no trial is learned from: a build that slows its
         // neighbours would be forgiven. Nor a release's: its faults would be their own measure.
-        Side steady = news.released() && earlier.everEnded(rows.size()) == 0 ? trial : earlier;
+        Side steady = news.released() && earlier.ever(rows.size(), true) == 0 ? trial : earlier;
         boolean learns = state == State.NORMAL && (steady == trial || !news.onTrial() && !news.released());
         for (int i = 0; i < detectors.length; i++) {
             Detector d = detectors[i];
             int place = i / 2;
             boolean ofLate = i % 2 == 1;
-            if (learns && steady.ended(now, place) >= REFERENCE_FLOOR) {
+            if (learns && steady.seen(now, place, ofLate) >= REFERENCE_FLOOR) {
                 d.learn(share(now, steady, place, ofLate));
             }
-            double n = trial.ended(now, place);
+            double n = trial.seen(now, place, ofLate);
             // A release takes pods away: what is late after it says nothing of the build.
-            if (trial.everEnded(place) >= OUTCOME_FLOOR && n >= 1 && (news.onTrial() || !ofLate)) {
+            if (trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && (news.onTrial() || !ofLate)) {
                 d.judge(sample(now, place, ofLate, d), n);
             }
             if (d.state.ordinal() > worst.ordinal()) {
@@ -707,7 +737,7 @@
         }
         long age = now - stageSinceNs;
         // The last 'on' takes the earlier pods away. Who has seen little waits for who has seen more.
-        boolean proven = news.stage() < rollout.shares().size() - 1 || trial.everEnded(rows.size()) >= PROOF
+        boolean proven = news.stage() < rollout.shares().size() - 1 || trial.ever(rows.size(), true) >= PROOF
                 || age > rollout.bakeNs() + PROOF_WAIT;
         return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
     }
--- a/src/main/java/mulleinlever/Row.java
+++ b/src/main/java/mulleinlever/Row.java
@@ -5,13 +5,14 @@
     final Settings.Route is;
     final int at;
     final Mean times;
+    final Mean usual;
     double lateNs;
-    int lateSeen;
 
     Row(Settings.Route is, int at, long halfLifeNs) {
         this.is = is;
         this.at = at;
         this.lateNs = is.objectiveNs();
         this.times = new Mean(halfLifeNs);
+        this.usual = new Mean(2 * halfLifeNs);
     }
 }
--- a/src/main/java/mulleinlever/Side.java
+++ b/src/main/java/mulleinlever/Side.java
@@ -4,64 +4,85 @@
 
 /** What one side, the build on trial or the earlier one, has shown: by route, and last over all. */
 final class Side {
-    private static final class Shown {
-        final Decay ended;
-        final Decay failed;
-        final Decay late;
-        final Decay flags;
-        int ever;
-
-        Shown(long halfLifeNs) {
-            ended = new Decay(halfLifeNs);
-            failed = new Decay(halfLifeNs);
-            late = new Decay(halfLifeNs);
-            flags = new Decay(halfLifeNs);
+    /** Tries of which a share went wrong. */
+    private static final class Share {
+        final Decay of;
+        final Decay wrong;
+        double ever;
+
+        Share(long halfLifeNs) {
+            of = new Decay(halfLifeNs);
+            wrong = new Decay(halfLifeNs);
+        }
+
+        void add(long nowNs, double n, double k) {
+            of.add(nowNs, n);
+            wrong.add(nowNs, k);
+            ever += n;
+        }
+
+        double read(long nowNs) {
+            return Math.min(1, wrong.read(nowNs) / Math.max(1, of.read(nowNs)));
         }
     }
 
-    private final Shown[] places;
+    private final Share[] failed;
+    private final Share[] late;
+    private final Share[] flagged;
 
     Side(int routes, long halfLifeNs) {
-        places = new Shown[routes + 1];
-        Arrays.setAll(places, i -> new Shown(halfLifeNs));
+        failed = places(routes, halfLifeNs);
+        late = places(routes, halfLifeNs);
+        flagged = places(routes, halfLifeNs);
     }
 
-    void end(long nowNs, int route, boolean hasFailed, boolean wasLate) {
-        for (Shown s : both(route)) {
-            s.ended.add(nowNs, 1);
-            s.failed.add(nowNs, hasFailed ? 1 : 0);
-            s.late.add(nowNs, wasLate ? 1 : 0);
-            s.ever++;
-        }
+    private static Share[] places(int routes, long halfLifeNs) {
+        Share[] places = new Share[routes + 1];
+        Arrays.setAll(places, i -> new Share(halfLifeNs));
+        return places;
     }
 
-    void flag(long nowNs, int route) {
-        for (Shown s : both(route)) {
-            s.flags.add(nowNs, 1);
-        }
+    private static void add(Share[] places, long nowNs, int route, double n, double k) {
+        places[route].add(nowNs, n, k);
+        places[places.length - 1].add(nowNs, n, k);
     }
 
-    double ended(long nowNs, int place) {
-        return places[place].ended.read(nowNs);
+    void own(long nowNs, int route, boolean hasFailed, boolean wasLate) {
+        add(failed, nowNs, route, 1, hasFailed ? 1 : 0);
+        add(late, nowNs, route, 1, wasLate ? 1 : 0);
+        add(flagged, nowNs, route, 1, 0);
+    }
+
+    void tallied(long nowNs, int route, double n, double k, double timed, double slow) {
+        add(failed, nowNs, route, n, k);
+        add(late, nowNs, route, timed, timed > 0 ? slow : 0);
+    }
+
+    void flag(long nowNs, int route) {
+        add(flagged, nowNs, route, 0, 1);
     }
 
     double failed(long nowNs, int place) {
-        return places[place].failed.read(nowNs);
+        return failed[place].read(nowNs);
     }
 
     double late(long nowNs, int place) {
-        return places[place].late.read(nowNs);
+        return late[place].read(nowNs);
     }
 
     double flags(long nowNs, int place) {
-        return places[place].flags.read(nowNs);
+        return flagged[place].wrong.read(nowNs);
+    }
+
+    double relayed(long nowNs, int place) {
+        return flagged[place].of.read(nowNs);
     }
 
-    int everEnded(int place) {
-        return places[place].ever;
+    double seen(long nowNs, int place, boolean inTime) {
+        return (inTime ? late : failed)[place].of.read(nowNs);
     }
 
-    private Shown[] both(int route) {
-        return new Shown[] {places[route], places[places.length - 1]};
+    double ever(int place, boolean inTime) {
+        return (inTime ? late : failed)[place].ever;
     }
 }
--- a/src/main/java/mulleinlever/drill/Drill.java
+++ b/src/main/java/mulleinlever/drill/Drill.java
@@ -127,8 +127,10 @@
             case "HEAD_RECEIVED" -> policy.streamBegan(now, l.text("ticket"));
             case "PROMOTION" -> news(policy, l);
             case "CLIENT_GONE" -> policy.clientGone(now, l.text("ticket"));
-            // The module asks for no probes and no peers' messages, and judges by its own outcomes.
-            case "ECHO", "PEER_DATA", "PLATFORM_SAW" -> { }
+            // The module asks for no probes and no peers' messages.
+            case "ECHO", "PEER_DATA" -> { }
+            case "PLATFORM_SAW" -> policy.tally(now, l.text("cls"), l.count("buildNo"), l.number("n", 0),
+                    l.number("failed", 0), l.whole("rttNs", 0), l.whole("ageNs", 0));
             case "ELAPSED" -> policy.timer(now, l.text("nonce"));
             case "DETACH" -> running.remove(about);
             case "DISPUTED" -> policy.flagged(now, l.text("pod"), l.text("cls"));
