--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -625,7 +625,8 @@
      */
     private double sample(long now, int place, boolean ofLate, Detector d) {
         double share = share(now, trial, place, ofLate);
-        boolean reference = earlier.seen(now, place, ofLate) >= OUTCOME_FLOOR;
+        // What it showed last stands on after the release takes it away.
+        boolean reference = earlier.ever(place, ofLate) >= OUTCOME_FLOOR;
         double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
         double apart = Math.max(0, Math.min(1, share - (ofLate ? shift : Math.max(0, shift))));
         boolean whole = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
@@ -660,7 +661,10 @@
         // One report stands for all the wrong answers that nobody reported; but a few may be mistaken.
         double flags = side.flags(now, place);
         double wrong = flags < FLAG_FLOOR ? 0 : flags / rollout.complaintShare();
-        return Math.min(1, side.failed(now, place) + wrong / Math.max(1, side.relayed(now, place)));
+        // With nothing left to compare with, failures that come long after the release are not the build's.
+        boolean failuresCount = news.onTrial() || now < stageSinceNs + PROOF_WAIT || side == earlier;
+        return Math.min(1, (failuresCount ? side.failed(now, place) : 0)
+                + wrong / Math.max(1, side.relayed(now, place)));
     }
 
     private void judge(long now) {
