The trial's warm pods carry what they will when released, within the cap

Cause: pods of both builds shared the load evenly, so a good build waited at half the fleet's traffic to the end, and one that fails under load showed it only after its release. Now a part of the reqs goes to the trial that equals its warm pods over those it is to replace. An earlier build less late than usual no longer counts against the trial.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -121,8 +121,10 @@
     private final Map<String, Pod> pods = new LinkedHashMap<>();
     // Surveyed at each change and tick, so that no req costs more on a larger fleet.
     private List<Pod> ready = List.of();
-    private List<Pod> near = List.of();
-    private List<Pod> trialPods = List.of();
+    private Fleet whole = Fleet.NONE;
+    private Fleet onTrial = Fleet.NONE;
+    private Fleet notOnTrial = Fleet.NONE;
+    private long warmOnTrial;
     private double weights;
     private double silentAfterNs;
     private boolean panic;
@@ -196,9 +198,11 @@
 
     private void survey(long now) {
         ready = pods.values().stream().filter(Pod::ready).toList();
-        near = ready.stream().filter(this::near).toList();
-        trialPods = ready.stream().filter(p -> onTrial(p.is.build())).toList();
-        trialPods.forEach(p -> saved(p.is.build()));
+        whole = Fleet.of(ready, p -> true, set.zone());
+        onTrial = Fleet.of(ready, p -> onTrial(p.is.build()), set.zone());
+        notOnTrial = Fleet.of(ready, p -> !onTrial(p.is.build()), set.zone());
+        onTrial.all().forEach(p -> saved(p.is.build()));
+        warmOnTrial = onTrial.all().stream().filter(p -> !cold(now, p)).count();
         weights = ready.stream().mapToDouble(p -> p.is.weight()).sum();
         double slowest = rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
         silentAfterNs = SILENCE_MEANS * slowest;
@@ -390,12 +394,31 @@
 
     /** Two random choices by load among the pods the req may go to, the first a near one if there is any. */
     private Pod pick(long now, Rq rq) {
-        List<Pod> of = rollout.oneWay() && draw(now, rq, trialPods, true) != null ? trialPods : ready;
-        Pod a = draw(now, rq, of == ready ? near : of, false);
-        Pod b = draw(now, rq, of, false);
-        if (a == null && b == null) {
-            return draw(now, rq, of, true);
+        double part = trialPart();
+        Pod pod = part == 0 ? null : twoChoices(now, rq, random.nextDouble() < part ? onTrial : notOnTrial);
+        pod = pod == null ? twoChoices(now, rq, whole) : pod;
+        return pod == null ? draw(now, rq, whole.all(), true) : pod;
+    }
+
+    /**
+     * The trial's pods carry what they will when released, as far as the cap and the rules leave room: that
+     * proves the build under its load, and fewer wait for a good one. In doubt they get no more than others.
+     */
+    private double trialPart() {
+        if (rollout.oneWay()) {
+            return onTrial.all().isEmpty() ? 0 : 1;
         }
+        return state == State.NORMAL ? trialPods() : 0;
+    }
+
+    /** The trial's warm pods, in parts of those that it is to replace: cold ones would leave them the load. */
+    private double trialPods() {
+        return Math.min(1, warmOnTrial / Math.max(1.0, notOnTrial.all().size()));
+    }
+
+    private Pod twoChoices(long now, Rq rq, Fleet of) {
+        Pod a = draw(now, rq, of.near(), false);
+        Pod b = draw(now, rq, of.all(), false);
         return a == null || b != null && load(now, b) < load(now, a) ? b : a;
     }
 
@@ -568,7 +591,7 @@
 
     /** Where a key can't go back, the trial keeps to a part of the keys: their later reqs need room too. */
     private boolean oneWayKey(Rq rq, int build) {
-        double part = Math.min(ONE_WAY_PART * capOf(build), trialPods.size() / (double) ready.size());
+        double part = Math.min(ONE_WAY_PART * capOf(build), trialPods());
         return answeredBy.getOrDefault(rq.is.key(), 0) == build
                 || new SplittableRandom(rq.is.key()).nextDouble() < part;
     }
@@ -628,7 +651,7 @@
         // What it showed last stands on after the release takes it away.
         boolean reference = earlier.ever(place, ofLate) >= OUTCOME_FLOOR;
         double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
-        double apart = Math.max(0, Math.min(1, share - (ofLate ? shift : Math.max(0, shift))));
+        double apart = Math.max(0, Math.min(1, share - Math.max(0, shift)));
         boolean whole = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
         return whole ? Math.max(apart, middleLate(now)) : apart;
     }
