Proof is counted from the start of the last stage, the trial's load against all places

Cause: with more going to the trial early, the last 'on' was proven by outcomes of earlier stages; and pods that crash made the trial's part of the load grow.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -125,6 +125,7 @@
     private Fleet onTrial = Fleet.NONE;
     private Fleet notOnTrial = Fleet.NONE;
     private long warmOnTrial;
+    private int places;
     private double weights;
     private double silentAfterNs;
     private boolean panic;
@@ -151,6 +152,7 @@
 
     private News news;
     private long stageSinceNs;
+    private double everBefore;
     private Side earlier;
     private Side trial;
     private final Detector[] detectors;
@@ -202,6 +204,7 @@
         onTrial = Fleet.of(ready, p -> onTrial(p.is.build()), set.zone());
         notOnTrial = Fleet.of(ready, p -> !onTrial(p.is.build()), set.zone());
         onTrial.all().forEach(p -> saved(p.is.build()));
+        places = onTrial.all().isEmpty() ? 0 : Math.max(places, notOnTrial.all().size());
         warmOnTrial = onTrial.all().stream().filter(p -> !cold(now, p)).count();
         weights = ready.stream().mapToDouble(p -> p.is.weight()).sum();
         double slowest = rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
@@ -413,7 +416,7 @@
 
     /** The trial's warm pods, in parts of those that it is to replace: cold ones would leave them the load. */
     private double trialPods() {
-        return Math.min(1, warmOnTrial / Math.max(1.0, notOnTrial.all().size()));
+        return Math.min(1, warmOnTrial / Math.max(1.0, places));
     }
 
     private Pod twoChoices(long now, Rq rq, Fleet of) {
@@ -738,6 +741,7 @@
         if (other || news.stage() != told.stage() || news.phase() != told.phase()) {
             host.log(told.name() + " " + told.phase());
             ballot.clear();
+            everBefore = trial.ever(rows.size(), true);
         }
         news = told;
         stageSinceNs = now - told.ageNs();
@@ -763,9 +767,9 @@
             return news.onTrial() && state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
         }
         long age = now - stageSinceNs;
-        // The last 'on' takes the earlier pods away. Who has seen little waits for who has seen more.
-        boolean proven = news.stage() < rollout.shares().size() - 1 || trial.ever(rows.size(), true) >= PROOF
-                || age > rollout.bakeNs() + PROOF_WAIT;
+        // The last 'on' takes the earlier pods away: it waits for what the build shows under all the load.
+        boolean proven = news.stage() < rollout.shares().size() - 1 || age > rollout.bakeNs() + PROOF_WAIT
+                || trial.ever(rows.size(), true) >= everBefore + PROOF;
         return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
     }
 
--- a/src/test/java/mulleinlever/RulesTest.java
+++ b/src/test/java/mulleinlever/RulesTest.java
@@ -136,7 +136,7 @@
     private void pods(SplittableRandom random) {
         int i = random.nextInt(14);
         PodEntry e = Bench.pod(i, i < 8 ? 1 : news.build() + random.nextInt(2),
-                bench.now - random.nextInt(500) * MS);
+                bench.now - random.nextInt(6_000) * MS);
         int what = random.nextInt(5);
         if (what < 2 && list.containsKey(e.id())) {
             PodEntry was = list.get(e.id());
