Room for open tries scales with pods a sidecar; what is never answered counts against ease

Cause: a sidecar's room never fell under one try a pod of the fleet, so 60 sidecars together kept 60 tries at each pod and shed nothing; and ease was measured by answers alone, so that a full jam looked like ease. The least room is now three tries a pod over all sidecars, as it was on the small fleets, and unanswered tries count as just late. It could harm where one sidecar carries far more than the others: its least room is no larger than theirs.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -68,7 +68,9 @@
     private static final double SILENCE_MEANS = 4;
     /** Answers are wanted at this share of their latency objective; above it, fewer tries are let out. */
     private static final double AT_EASE = 0.33;
-    private static final double ROOM_FIRST = 60;
+    /** Tries that all sidecars together may always have open at a pod, and times that at the start. */
+    private static final double LEAST_A_POD = 3;
+    private static final double ROOM_FIRST = 4;
     /** What waits in line longer, in shares of its latency objective, would come late from a strained pod. */
     private static final double LINE_WAIT = 0.35;
     /** How many times sooner than a usual req a cheap one is shed, by its earnings for the time taken. */
@@ -134,7 +136,7 @@
     private final ArrayDeque<Rq> firstTries = new ArrayDeque<>();
     private final ArrayDeque<Rq> furtherTries = new ArrayDeque<>();
     private final Mean ease = new Mean(SECOND);
-    private double room = ROOM_FIRST;
+    private double room;
     private int open;
     private long unsteadyUntilNs;
     private final Decay sent = new Decay(2 * SECOND);
@@ -209,6 +211,7 @@
         weights = ready.stream().mapToDouble(p -> p.is.weight()).sum();
         double slowest = rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
         silentAfterNs = SILENCE_MEANS * slowest;
+        room = room == 0 && !ready.isEmpty() ? ROOM_FIRST * leastRoom() : room;
         panic = ready.stream().filter(p -> fit(now, p)).count() < PANIC_PART * ready.size();
     }
 
@@ -336,7 +339,9 @@
             rq.neverRan++;
             rq.mayHaveRun = rq.mayHaveRun == t ? null : rq.mayHaveRun;
         }
-        if (ending != Ending.MOOT && ending != Ending.CANCELLED) {
+        if (ending == Ending.CANCELLED && rq.calledBack) {
+            ease.add(now, Math.min(1, tookNs / (double) rq.row.is.objectiveNs()));
+        } else if (ending != Ending.MOOT && ending != Ending.CANCELLED) {
             measure(now, rq.row, t, ending, tookNs);
         }
         // A try called back late was late: else a slow build would hide behind the rescue of its reqs.
@@ -471,9 +476,10 @@
             p.slowness.add(now, tookNs / meanNs(now, row));
             row.times.add(now, tookNs);
         }
+        // What was never answered counts as just late: where most is, a jam would look like ease.
+        double part = tookNs / (double) row.is.objectiveNs();
+        ease.add(now, ok ? part : Math.min(1, part));
         if (ok) {
-            // Of answers alone: what hung pods never answered is no reason to turn away what others could do.
-            ease.add(now, tookNs / (double) row.is.objectiveNs());
             completed.add(now, 1);
             // A pod that fails half of its tries must not be cleared by one lucky answer.
             p.strikes = Math.max(0, p.strikes - 1);
@@ -514,12 +520,16 @@
     private void makeRoom(long now) {
         double at = ease.read(now, 0, 1);
         if (at > AT_EASE) {
-            room = Math.max(ready.size(), room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
+            room = Math.max(leastRoom(), room * (1 - 0.1 * Math.min(1, at / AT_EASE - 1)));
         } else if (open > 0.8 * room) {
             room *= 1.02;
         }
     }
 
+    private double leastRoom() {
+        return Math.max(2, LEAST_A_POD * ready.size() / set.sidecars());
+    }
+
     private boolean cold(long now, Pod p) {
         return p.is.startedNs() > 0 && now < p.is.startedNs() + set.rules().warmAfterNs();
     }
