Where new connections are refused, only pods heard lately are used

Cause: each sidecar spread over the whole fleet; where pods take few connections most tries found none, were tried again elsewhere and took connections from others. Above a quarter of new connections refused, pods that answered within the idle time are used alone, while there are more of them than open tries. It should also guard against machines that die together, before the list tells. It could harm where those few pods are the slow ones.

--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -8,6 +8,7 @@
     PodEntry is;
     int open;
     long owesSinceNs;
+    long heardNs = Long.MIN_VALUE / 2;
     int strikes;
     long sickForNs;
     long sickUntilNs;
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -62,6 +62,8 @@
     private static final int MOST_STRIKES = 6;
     /** Pods looked at by chance before all are gone through. */
     private static final int DRAWS = 16;
+    /** Share of new connections refused above which only pods that were heard lately are used. */
+    private static final double SCARCE = 0.25;
     /** Pods rest only while this part of those a req may go to is left. */
     private static final double PANIC_PART = 0.5;
     /** A pod that owes answers and gave none for so many mean times of the slowest route is silent. */
@@ -131,6 +133,8 @@
     private double weights;
     private double silentAfterNs;
     private boolean panic;
+    private boolean linksScarce;
+    private final Mean refused = new Mean(2 * MEASURE_HALF_LIFE);
 
     private final Map<String, Rq> held = new LinkedHashMap<>();
     private final ArrayDeque<Rq> firstTries = new ArrayDeque<>();
@@ -212,6 +216,9 @@
         double slowest = rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
         silentAfterNs = SILENCE_MEANS * slowest;
         room = room == 0 && !ready.isEmpty() ? ROOM_FIRST * leastRoom() : room;
+        // Pods that take no more connections look like dead ones; either way those that answered lately serve.
+        linksScarce = refused.read(now, 0, 4) > SCARCE
+                && ready.stream().filter(p -> linked(now, p)).count() > open;
         panic = ready.stream().filter(p -> fit(now, p)).count() < PANIC_PART * ready.size();
     }
 
@@ -300,7 +307,7 @@
             return false;
         }
         boolean fresh = now < pod.is.startedNs() + FRESH_PART * set.rules().warmAfterNs();
-        Try t = new Try(pod, now, !fresh, pod.is.build());
+        Try t = new Try(pod, now, !fresh, pod.is.build(), linked(now, pod));
         rq.tries.add(t);
         rq.out++;
         rq.calledBack = false;
@@ -445,7 +452,13 @@
 
     /** Where most pods fail, resting them would jam the few: then they are no worse than the rest. */
     private boolean suits(long now, Rq rq, Pod p) {
-        return (panic || fit(now, p)) && rq.tries.stream().noneMatch(t -> t.pod() == p);
+        return (panic || fit(now, p)) && (!linksScarce || linked(now, p))
+                && rq.tries.stream().noneMatch(t -> t.pod() == p);
+    }
+
+    /** Whether the pod was heard so lately that a connection is likely to stand. */
+    private boolean linked(long now, Pod p) {
+        return p.open > 0 || now < p.heardNs + set.limits().connectionIdleNs();
     }
 
     private boolean near(Pod p) {
@@ -471,6 +484,12 @@
     private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
         Pod p = t.pod();
         boolean ok = ending == Ending.OK;
+        boolean unreached = ending == Ending.CONNECT_FAILED;
+        if (!t.linked()) {
+            refused.add(now, unreached ? 1 : 0);
+        }
+        p.heardNs = unreached ? now - set.limits().connectionIdleNs()
+                : ending == Ending.TIMEOUT ? p.heardNs : now;
         p.owesSinceNs = ending == Ending.TIMEOUT ? p.owesSinceNs : now;
         if (ok || ending == Ending.TIMEOUT) {
             p.slowness.add(now, tookNs / meanNs(now, row));
--- a/src/main/java/mulleinlever/Settings.java
+++ b/src/main/java/mulleinlever/Settings.java
@@ -42,7 +42,8 @@
             double fallMultiple, long fallNs, long askWithinNs) { }
 
     public record Limits(int maxTries, int maxOpen, boolean cancel, boolean probes, boolean secondCopies,
-            boolean retryAfter, long maxRetryAfterNs, int streamsPerConnection, long connectTimeoutNs) { }
+            boolean retryAfter, long maxRetryAfterNs, int streamsPerConnection, long connectTimeoutNs,
+            long connectionIdleNs) { }
 
     public record Prices(double crossZone, double waste, double probe, double lateFail) { }
 }
--- a/src/main/java/mulleinlever/drill/SettingsLine.java
+++ b/src/main/java/mulleinlever/drill/SettingsLine.java
@@ -45,7 +45,8 @@
                 l.flag("policyLimits.cancel", false), l.flag("policyLimits.probes", false),
                 l.flag("policyLimits.secondCopies", false), l.flag("policyLimits.retryAfter", false),
                 l.whole("policyLimits.maxRetryAfterNs", 0),
-                (int) l.whole("policyLimits.streamsPerConn", 1), l.whole("policyLimits.connectTimeoutNs", 0));
+                (int) l.whole("policyLimits.streamsPerConn", 1), l.whole("policyLimits.connectTimeoutNs", 0),
+                l.whole("policyLimits.connIdleNs", 0));
         Prices prices = new Prices(l.number("prices.crossZone", 0), l.number("prices.waste", 0),
                 l.number("prices.probe", 0), l.number("prices.lateFail", 0));
         String zones = l.text("zones", "");
--- a/src/test/java/mulleinlever/Bench.java
+++ b/src/test/java/mulleinlever/Bench.java
@@ -39,7 +39,7 @@
                         3 * S, 2,
                 byRoute, shielded, oneWay, false, 0.3, 4);
         var rules = new Settings.Rules(20 * MS, 500 * MS, 0.3, 4 * S, 2, S, 10 * S);
-        var limits = new Settings.Limits(4, 20_000, true, true, false, true, S, 100, 250 * MS);
+        var limits = new Settings.Limits(4, 20_000, true, true, false, true, S, 100, 250 * MS, 15 * S);
         return new Settings(0, 3, "a", List.of("a", "b"), ask, 5 * MS, 0.2, routes, List.of(), rollout, rules,
                 limits, new Settings.Prices(0.02, 0.05, 0.01, 0.05), Settings.ReportSource.OFF, true);
     }
