A second copy goes out where one more try would just come in time, while tries go unanswered

Where the settings allow two copies, a req not answered with two mean times left before its objective goes to a second pod, while more than one try in fifty is never answered, and not under strain. What is still out when the answer comes is called back. It should also guard against stalled pods; it harms where pods finish what was called back.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -83,6 +83,11 @@
     private static final double ONE_WAY_PART = 0.7;
     /** What a cold pod may get, times what one that can do so much gets: the rule leaves room for chance. */
     private static final double COLD_MARGIN = 1.25;
+    /** Second copies go out while more than this share of tries is never answered; one waits for so many mean
+     * times of its route, and leaves that many for itself. */
+    private static final double LOST = 0.02;
+    private static final double COPY_AFTER = 1.5;
+    private static final double COPY_LEAVES = 2;
     private static final long TICK = 100 * MS;
     private static final long LINE_TICK = 25 * MS;
 
@@ -134,6 +139,7 @@
     private double silentAfterNs;
     private boolean panic;
     private boolean linksScarce;
+    private final Mean lost = new Mean(4 * MEASURE_HALF_LIFE);
     private final Mean refused = new Mean(2 * MEASURE_HALF_LIFE);
 
     private final Map<String, Rq> held = new LinkedHashMap<>();
@@ -273,8 +279,8 @@
         double objective = rq.row.is.objectiveNs();
         double wait = rq.tries.isEmpty() ? LINE_WAIT * objective : objective - meanNs(now, rq.row);
         // Against a repeat that its pods no longer know for one: it may have waited here for long.
-        long dropped = rq.row.is.repeat() == Repeat.DEDUPED && rq.mayHaveRun != null
-                ? rq.mayHaveRun.sentNs() + rq.row.is.dedupNs() : rq.dueNs;
+        long dropped = rq.row.is.repeat() == Repeat.DEDUPED && rq.mayHaveRun() != null
+                ? rq.mayHaveRun().sentNs() + rq.row.is.dedupNs() : rq.dueNs;
         return Math.min(rq.arrivedNs + (long) wait, Math.min(dropped, rq.dueNs) - 2 * set.stepNs());
     }
 
@@ -308,10 +314,8 @@
         }
         boolean fresh = now < pod.is.startedNs() + FRESH_PART * set.rules().warmAfterNs();
         Try t = new Try(pod, now, !fresh, pod.is.build(), linked(now, pod));
-        rq.tries.add(t);
-        rq.out++;
+        rq.start(t);
         rq.calledBack = false;
-        rq.mayHaveRun = rq.mayHaveRun == null ? t : rq.mayHaveRun;
         pod.owesSinceNs = pod.open++ == 0 ? now : pod.owesSinceNs;
         open++;
         if (cold(now, pod)) {
@@ -340,11 +344,10 @@
         }
         Try t = rq.tries.get(tryNo);
         t.pod().open--;
-        rq.out--;
+        rq.end(tryNo, ending);
         open--;
-        if (ending.neverRan()) {
-            rq.neverRan++;
-            rq.mayHaveRun = rq.mayHaveRun == t ? null : rq.mayHaveRun;
+        if (!ending.neverRan()) {
+            lost.add(now, ending != Ending.OK && ending != Ending.ERROR && tookNs > silentAfterNs ? 1 : 0);
         }
         if (ending == Ending.CANCELLED && rq.calledBack) {
             ease.add(now, Math.min(1, tookNs / (double) rq.row.is.objectiveNs()));
@@ -359,7 +362,9 @@
             answeredBy.merge(rq.is.key(), t.build(), Math::max);
         }
         rq.answered |= complete || rq.streaming;
-        if (!rq.answered && rq.out == 0) {
+        if (rq.answered) {
+            callBackAll(rq);
+        } else if (rq.out.isEmpty()) {
             if (mayGoAgain(now, rq)) {
                 join(now, rq);
             } else {
@@ -392,15 +397,19 @@
         Rq rq = held.get(id);
         if (rq != null) {
             rq.answered = true;
-            if (rq.out > 0 && set.limits().cancel() && !rq.streaming) {
-                host.cancel(id, rq.tries.size() - 1);
-            }
+            callBackAll(rq);
             forgetIfDone(rq);
         }
     }
 
+    private void callBackAll(Rq rq) {
+        if (set.limits().cancel() && !rq.streaming) {
+            rq.out.stream().forEach(no -> host.cancel(rq.is.id(), no));
+        }
+    }
+
     private void forgetIfDone(Rq rq) {
-        if (rq.answered && rq.out == 0) {
+        if (rq.answered && rq.out.isEmpty()) {
             held.remove(rq.is.id());
         }
     }
@@ -473,8 +482,8 @@
     /** What no rule forbids. */
     private boolean allowed(long now, Rq rq, Pod p) {
         return p.ready() && coldRoom(now, p) && exposureRoom(rq, p)
-                && (rq.mayHaveRun == null || rq.row.is.repeat() != Repeat.DEDUPED
-                || rq.row.is.scope().holds(rq.mayHaveRun.pod().is, p.is));
+                && (rq.mayHaveRun() == null || rq.row.is.repeat() != Repeat.DEDUPED
+                || rq.row.is.scope().holds(rq.mayHaveRun().pod().is, p.is));
     }
 
     private double meanNs(long now, Row row) {
@@ -519,22 +528,35 @@
         return p.open > 0 && now - p.owesSinceNs > silentAfterNs;
     }
 
-    /** Calls back what lies at silent pods, where it may still go elsewhere in time. */
+    /** What lies at silent pods is called back, to go elsewhere; what may be lost on the way goes twice. */
     private void rescue(long now) {
         for (Rq rq : held.values()) {
-            if (rq.out == 0 || rq.answered || rq.streaming || rq.calledBack || !mayGoAgain(now, rq)) {
+            if (rq.out.cardinality() != 1 || rq.answered || rq.streaming || rq.calledBack
+                    || !mayGoAgain(now, rq)) {
                 continue;
             }
-            Try t = rq.last();
-            if (silent(now, t.pod())) {
+            int no = rq.out.nextSetBit(0);
+            Pod at = rq.tries.get(no).pod();
+            if (set.limits().cancel() && silent(now, at)) {
                 rq.calledBack = true;
-                t.pod().strikes = MOST_STRIKES;
-                t.pod().sickUntilNs = now + SICK_FOR;
-                host.cancel(rq.is.id(), rq.tries.size() - 1);
+                at.strikes = MOST_STRIKES;
+                at.sickUntilNs = now + SICK_FOR;
+                host.cancel(rq.is.id(), no);
+            } else if (set.limits().secondCopies() && now >= secondCopyAt(now, rq)) {
+                send(now, rq);
             }
         }
     }
 
+    /** When one more try would just come in time: against answers lost on the way and pods that stall. */
+    private long secondCopyAt(long now, Rq rq) {
+        double mean = meanNs(now, rq.row);
+        double end = Math.min(rq.arrivedNs + rq.row.is.objectiveNs(), rq.dueNs);
+        double at = Math.max(rq.last().sentNs() + COPY_AFTER * mean, end - COPY_LEAVES * mean);
+        boolean worth = lost.read(now, 2 * LOST, 10) > LOST && ease.read(now, 0, 1) < AT_EASE && at + mean < end;
+        return worth ? (long) at : Long.MAX_VALUE;
+    }
+
     /** Fewer tries lie at the pods the longer answers take: what waits here can be shed or go elsewhere. */
     private void makeRoom(long now) {
         double at = ease.read(now, 0, 1);
@@ -851,9 +873,7 @@
                 host.timer(now + TICK, token);
                 survey(now);
                 makeRoom(now);
-                if (set.limits().cancel()) {
-                    rescue(now);
-                }
+                rescue(now);
                 if (set.listMustBeAsked() && !watching && now >= askAgainNs) {
                     askForList(now);
                 }
--- a/src/main/java/mulleinlever/Rq.java
+++ b/src/main/java/mulleinlever/Rq.java
@@ -1,6 +1,7 @@
 package mulleinlever;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 
 /** A req in hand, kept until it has its answer and all its tries have ended. */
@@ -10,12 +11,12 @@
     final long arrivedNs;
     final long dueNs;
     final List<Try> tries = new ArrayList<>(2);
-    int out;
-    int neverRan;
+    /** Numbers of the tries that are out, and of those proven not to have run. */
+    final BitSet out = new BitSet();
+    private final BitSet neverRan = new BitSet();
     boolean answered;
     boolean streaming;
     boolean calledBack;
-    Try mayHaveRun;
 
     Rq(Req is, Row row, long nowNs) {
         this.is = is;
@@ -24,11 +25,27 @@
         this.dueNs = nowNs + is.expiresInNs();
     }
 
+    void start(Try t) {
+        out.set(tries.size());
+        tries.add(t);
+    }
+
+    void end(int no, Ending ending) {
+        out.clear(no);
+        neverRan.set(no, ending.neverRan());
+    }
+
+    /** The first try that may have run, or may yet, if any. */
+    Try mayHaveRun() {
+        int no = neverRan.nextClearBit(0);
+        return no < tries.size() ? tries.get(no) : null;
+    }
+
     Try last() {
         return tries.get(tries.size() - 1);
     }
 
     boolean provenNotRun() {
-        return neverRan == tries.size();
+        return mayHaveRun() == null;
     }
 }
