Flags count from two on over 30 s; a trial under suspicion gets 15% of the reqs at most

It could harm where two mistaken reports come within half a minute at a thin sidecar: that holds its own 'on' and its own reqs, and alarms nobody.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -50,7 +50,9 @@
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
-    private static final double FLAG_FLOOR = 2.5;
+    /** Reports are rarer than outcomes and late, so they are kept for longer. */
+    private static final long FLAG_HALF_LIFE = 30 * SECOND;
+    private static final double FLAG_FLOOR = 1.5;
     /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
     private static final long STAND_IN_ON = 2 * SECOND;
     private static final long STAND_IN_BACK = SECOND / 2;
@@ -81,6 +83,7 @@
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
+    private static final double IN_DOUBT = 0.15;
     /** What a cold pod may get, times what one that can do so much gets: the rule leaves room for chance. */
     private static final double COLD_MARGIN = 1.25;
     /** Second copies go out while more than this share of tries is never answered; one waits for so many mean
@@ -180,8 +183,8 @@
         for (Settings.Route r : set.routes()) {
             rows.put(r.name(), new Row(r, rows.size(), 2 * MEASURE_HALF_LIFE));
         }
-        earlier = new Side(rows.size(), SAMPLE_HALF_LIFE);
-        trial = new Side(rows.size(), SAMPLE_HALF_LIFE);
+        earlier = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
+        trial = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
         detectors = new Detector[2 * rows.size() + 2];
         // What is late is so defined that the earlier build's share is known before any is seen.
         Arrays.setAll(detectors, i -> i % 2 == 0 ? new Detector(0, 0)
@@ -426,13 +429,13 @@
 
     /**
      * The trial's pods carry what they will when released, as far as the cap and the rules leave room: that
-     * proves the build under its load, and fewer wait for a good one. In doubt they get no more than others.
+     * proves the build under its load, and fewer wait for a good one. In doubt they get what verdicts need.
      */
     private double trialPart() {
         if (rollout.oneWay()) {
             return onTrial.all().isEmpty() ? 0 : 1;
         }
-        return state == State.NORMAL ? trialPods() : 0;
+        return state == State.NORMAL ? trialPods() : Math.min(trialPods(), IN_DOUBT);
     }
 
     /** The trial's warm pods, in parts of those that it is to replace: cold ones would leave them the load. */
@@ -781,8 +784,8 @@
         boolean other = news == null || news.build() != told.build();
         if (other) {
             // What was released is the earlier build from now on; what was taken off never was.
-            earlier = news != null && news.released() ? new Side(rows.size(), SAMPLE_HALF_LIFE) : earlier;
-            trial = new Side(rows.size(), SAMPLE_HALF_LIFE);
+            earlier = news != null && news.released() ? trial : earlier;
+            trial = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
             state = State.NORMAL;
             for (Detector d : detectors) {
                 d.state = State.NORMAL;
--- a/src/main/java/mulleinlever/Side.java
+++ b/src/main/java/mulleinlever/Side.java
@@ -30,10 +30,10 @@
     private final Share[] late;
     private final Share[] flagged;
 
-    Side(int routes, long halfLifeNs) {
+    Side(int routes, long halfLifeNs, long flagHalfLifeNs) {
         failed = places(routes, halfLifeNs);
         late = places(routes, halfLifeNs);
-        flagged = places(routes, halfLifeNs);
+        flagged = places(routes, flagHalfLifeNs);
     }
 
     private static Share[] places(int routes, long halfLifeNs) {
