No floor under flags: one report already counts

Cause: builds with wrong answers were released at size, where a sidecar hears of one or none in time. The deviation floor of the design already keeps a single report from more than a suspicion.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -52,7 +52,6 @@
     private static final long PROOF_WAIT = 10 * SECOND;
     /** Reports are rarer than outcomes and late, so they are kept for longer. */
     private static final long FLAG_HALF_LIFE = 30 * SECOND;
-    private static final double FLAG_FLOOR = 1.5;
     /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
     private static final long STAND_IN_ON = 2 * SECOND;
     private static final long STAND_IN_BACK = SECOND / 2;
@@ -738,9 +737,9 @@
         if (ofLate) {
             return side.late(now, place);
         }
-        // One report stands for all the wrong answers that nobody reported; but a few may be mistaken.
+        // One report stands for all the wrong answers that nobody reported.
         double flags = side.flags(now, place);
-        double wrong = flags < FLAG_FLOOR ? 0 : flags / rollout.complaintShare();
+        double wrong = flags == 0 ? 0 : flags / rollout.complaintShare();
         // With nothing left to compare with, failures that come long after the release are not the build's.
         boolean failuresCount = news.onTrial() || now < stageSinceNs + PROOF_WAIT || side == earlier;
         return Math.min(1, (failuresCount ? side.failed(now, place) : 0)
