Each build keeps 15% of the reqs, and the reference's own count widens the deviation

Cause: with all reqs on the trial nothing was left to compare it with, and troubles of the fleet were put down to it. The floor under the deviation now counts both sides' outcomes, so a reference that fades away raises no alarm.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -82,7 +82,8 @@
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
-    private static final double IN_DOUBT = 0.15;
+    /** The least part that each build keeps while the other has most: both are needed to tell them apart. */
+    private static final double LEAST_PART = 0.15;
     /** What a cold pod may get, times what one that can do so much gets: the rule leaves room for chance. */
     private static final double COLD_MARGIN = 1.25;
     /** Second copies go out while more than this share of tries is never answered; one waits for so many mean
@@ -434,7 +435,7 @@
         if (rollout.oneWay()) {
             return onTrial.all().isEmpty() ? 0 : 1;
         }
-        return state == State.NORMAL ? trialPods() : Math.min(trialPods(), IN_DOUBT);
+        return Math.min(trialPods(), state == State.NORMAL ? 1 - LEAST_PART : LEAST_PART);
     }
 
     /** The trial's warm pods, in parts of those that it is to replace: cold ones would leave them the load. */
@@ -762,8 +763,10 @@
             }
             double n = trial.seen(now, place, ofLate);
             // A release takes pods away: what is late after it says nothing of the build.
-            if (trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && (news.onTrial() || !ofLate)) {
-                d.judge(sample(now, place, ofLate, d), n);
+            double m = earlier.seen(now, place, ofLate);
+            if (trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && m >= 1 && (news.onTrial() || !ofLate)) {
+                // What it is compared with was seen in so many cases only: that widens the deviation too.
+                d.judge(sample(now, place, ofLate, d), n * m / (n + m));
             }
             if (d.state.ordinal() > worst.ordinal()) {
                 worst = d.state;
