A build that slows all is seen by the earlier build's lateness beyond a quarter of its tries

Also: each build keeps 8% (was 15%), the last proof is 50 outcomes or 7 s (80 or 10 s), and tallied failures do not count while connections are refused. The lateness of the middle pod went out: at size no pod is seen often enough. It could harm where more than a quarter of the pods slow down while a trial is on.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -43,13 +43,14 @@
     private static final double LATE_MEANS = -Math.log(1 - LATE_QUANTILE);
     /** Outcomes that the earlier build must have shown lately before its share is a sample. */
     private static final double REFERENCE_FLOOR = 5;
+    private static final double MINOR_PART = 0.25;
     /** How much more than usual the pods must have to do before lateness on all is put down to that. */
     private static final double MORE_LOAD = 1.25;
     /** The part of the longest warming time in which outcomes tell of a pod's cold, not of its build. */
     private static final double FRESH_PART = 0.7;
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
-    private static final int PROOF = 80;
-    private static final long PROOF_WAIT = 10 * SECOND;
+    private static final int PROOF = 50;
+    private static final long PROOF_WAIT = 7 * SECOND;
     /** Reports are rarer than outcomes and late, so they are kept for longer. */
     private static final long FLAG_HALF_LIFE = 30 * SECOND;
     /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
@@ -83,7 +84,7 @@
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
     /** The least part that each build keeps while the other has most: both are needed to tell them apart. */
-    private static final double LEAST_PART = 0.15;
+    private static final double LEAST_PART = 0.08;
     /** What a cold pod may get, times what one that can do so much gets: the rule leaves room for chance. */
     private static final double COLD_MARGIN = 1.25;
     /** Second copies go out while more than this share of tries is never answered; one waits for so many mean
@@ -662,7 +663,6 @@
         }
         boolean judged = t.build() == news.build();
         boolean late = tookNs > row.lateNs;
-        t.pod().late.add(now, late ? 1 : 0);
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
         (judged ? trial : earlier).own(now, row.at, failed, late);
         if (ending == Ending.OK) {
@@ -695,13 +695,15 @@
             learnLate(now, row, build, meanNs, done);
         }
         Side side = build == news.build() ? trial : earlier;
-        side.tallied(now, row.at, n, failed, fresh ? 0 : n, done * Math.exp(-row.lateNs / meanNs));
+        // A tally does not tell a refused connection from a fault, nor whose pods refuse more.
+        double told = refused.read(now, 0, 4) > SCARCE ? 0 : n;
+        side.tallied(now, row.at, told, told > 0 ? failed : 0, fresh ? 0 : n, done * Math.exp(-row.lateNs / meanNs));
     }
 
     /**
      * The trial's share, less what the earlier build's shifted by: a burst or lost zone is not its doing.
-     * But where pods have no more to do than before and even the middle one is late, the build slows all:
-     * the middle one, since hung, slow or pausing pods are the lesser part.
+     * But where pods have no more to do than before and the earlier build is late beyond what a minor part of
+     * its pods can do by being hung, slow or pausing, the build slows all.
      */
     private double sample(long now, int place, boolean ofLate, Detector d) {
         double share = share(now, trial, place, ofLate);
@@ -710,13 +712,7 @@
         double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
         double apart = Math.max(0, Math.min(1, share - Math.max(0, shift)));
         boolean whole = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
-        return whole ? Math.max(apart, middleLate(now)) : apart;
-    }
-
-    private double middleLate(long now) {
-        double[] late = ready.stream().filter(p -> !cold(now, p))
-                .mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
-        return late.length == 0 ? 0 : late[(late.length - 1) / 2];
+        return whole ? Math.max(apart, (earlier.late(now, place) - MINOR_PART) / (1 - MINOR_PART)) : apart;
     }
 
     /** What this sidecar sends a second to each fit pod that is not on trial. */
