--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -36,7 +36,7 @@
     private static final double LONG_WEIGHT = 0.02;
     /** The sample is itself a sum over some seconds, so that one second of thin traffic raises no alarm. */
     private static final double SHORT_WEIGHT = 0.5;
-    private static final long SAMPLE_HALF_LIFE = 10 * SECOND;
+    private static final long SAMPLE_HALF_LIFE = 6 * SECOND;
     /** A try is late above this quantile of the earlier build: lower drowns in noise, higher is rare. */
     private static final double LATE_QUANTILE = 0.8;
     /** Where that quantile lies, in mean times, if these fall off evenly as most do. */
