--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -13,6 +13,7 @@
     long sickForNs;
     long sickUntilNs;
     final Mean slowness;
+    final Mean late;
     double coldLeft;
     private long coldAtNs;
 
@@ -20,6 +21,7 @@
         this.id = is.id();
         this.is = is;
         this.slowness = new Mean(halfLifeNs);
+        this.late = new Mean(2 * halfLifeNs);
     }
 
     boolean ready() {
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -36,7 +36,7 @@
     private static final double LONG_WEIGHT = 0.02;
     /** The sample is itself a sum over some seconds, so that one second of thin traffic raises no alarm. */
     private static final double SHORT_WEIGHT = 0.5;
-    private static final long SAMPLE_HALF_LIFE = 6 * SECOND;
+    private static final long SAMPLE_HALF_LIFE = 10 * SECOND;
     /** A try is late above this quantile of the earlier build: lower drowns in noise, higher is rare. */
     private static final double LATE_QUANTILE = 0.8;
     /** Where that quantile lies, in mean times, if these fall off evenly as most do. */
@@ -49,8 +49,8 @@
     /** The part of the longest warming time in which outcomes tell of a pod's cold, not of its build. */
     private static final double FRESH_PART = 0.7;
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
-    private static final int PROOF = 50;
-    private static final long PROOF_WAIT = 7 * SECOND;
+    private static final int PROOF = 80;
+    private static final long PROOF_WAIT = 10 * SECOND;
     /** Reports are rarer than outcomes and late, so they are kept for longer. */
     private static final long FLAG_HALF_LIFE = 30 * SECOND;
     /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
@@ -664,6 +664,7 @@
         boolean judged = t.build() == news.build();
         boolean late = tookNs > row.lateNs;
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
+        t.pod().late.add(now, late ? 1 : 0);
         (judged ? trial : earlier).own(now, row.at, failed, late);
         if (ending == Ending.OK) {
             learnLate(now, row, t.build(), tookNs, 1);
@@ -712,7 +713,15 @@
         double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
         double apart = Math.max(0, Math.min(1, share - Math.max(0, shift)));
         boolean whole = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
-        return whole ? Math.max(apart, (earlier.late(now, place) - MINOR_PART) / (1 - MINOR_PART)) : apart;
+        double most = whole ? (earlier.late(now, place) - MINOR_PART) / (1 - MINOR_PART) : 0;
+        return whole ? Math.max(apart, Math.max(most, middleLate(now))) : apart;
+    }
+
+    /** Of the middle pod: where each is seen often, the lesser part can't tilt it at all. */
+    private double middleLate(long now) {
+        double[] late = ready.stream().filter(p -> !cold(now, p))
+                .mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
+        return late.length == 0 ? 0 : late[(late.length - 1) / 2];
     }
 
     /** What this sidecar sends a second to each fit pod that is not on trial. */
@@ -760,7 +769,7 @@
             double n = trial.seen(now, place, ofLate);
             // A release takes pods away: what is late after it says nothing of the build.
             double m = earlier.seen(now, place, ofLate);
-            if (trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && m >= 1 && (news.onTrial() || !ofLate)) {
+            if (trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && m >= 1 && (news.onTrial() || now < stageSinceNs + PROOF_WAIT)) {
                 // What it is compared with was seen in so many cases only: that widens the deviation too.
                 d.judge(sample(now, place, ofLate, d), n * m / (n + m));
             }
