--- /dev/null
+++ b/src/main/java/mulleinlever/Averages.java
@@ -0,0 +1,30 @@
+package mulleinlever;
+
+/** The design's moving averages: the long-term one with its deviation, and the short-term one. */
+final class Averages {
+    double mean;
+    double deviation;
+    double recent;
+    double samples;
+
+    Averages(double mean, double samples) {
+        this.mean = mean;
+        this.samples = samples;
+    }
+
+    /** Takes a sample into the long-term pair, with a greater weight while there are few. */
+    void learn(double sample, double weight) {
+        double w = Math.max(weight, 1.0 / ++samples);
+        mean = w * sample + (1 - w) * mean;
+        deviation = Math.sqrt(w * (sample - mean) * (sample - mean) + (1 - w) * deviation * deviation);
+    }
+
+    void follow(double sample, double weight) {
+        recent = weight * sample + (1 - weight) * recent;
+    }
+
+    /** How many deviations the short-term average lies above the long-term one. */
+    double above(double floor) {
+        return (recent - mean) / Math.max(deviation, floor);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/Exposure.java
@@ -0,0 +1,40 @@
+package mulleinlever;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What may still be sent to builds on trial. Each req earns its share and only the free number is saved, so
+ * that no window whatever its length exceeds the rule.
+ */
+final class Exposure {
+    private final Settings.Rollout rollout;
+    private final int routes;
+    private final Map<Integer, double[]> left = new HashMap<>();
+
+    Exposure(Settings.Rollout rollout, int routes) {
+        this.rollout = rollout;
+        this.routes = routes;
+    }
+
+    double[] of(int build) {
+        return left.computeIfAbsent(build, b -> new double[routes]);
+    }
+
+    void earn(News news, int route) {
+        left.forEach((build, saved) -> saved[lane(route)] =
+                Math.min(rollout.uncounted(), saved[lane(route)] + news.capOf(build, rollout)));
+    }
+
+    boolean enough(int build, int route) {
+        return of(build)[lane(route)] >= 1;
+    }
+
+    void spend(int build, int route) {
+        of(build)[lane(route)]--;
+    }
+
+    private int lane(int route) {
+        return rollout.countedByRoute() ? route : 0;
+    }
+}
--- a/src/main/java/mulleinlever/Fleet.java
+++ b/src/main/java/mulleinlever/Fleet.java
@@ -5,10 +5,19 @@
 
 /** Pods that a req may be sent among, and those of them that are near. */
 record Fleet(List<Pod> all, List<Pod> near) {
-    static final Fleet NONE = new Fleet(List.of(), List.of());
+    Fleet(List<Pod> all, String zone) {
+        this(all, all.stream().filter(p -> p.is.zone().equals(zone)).toList());
+    }
+
+    Fleet only(Predicate<Pod> some) {
+        return new Fleet(all.stream().filter(some).toList(), near.stream().filter(some).toList());
+    }
+
+    long count(Predicate<Pod> some) {
+        return all.stream().filter(some).count();
+    }
 
-    static Fleet of(List<Pod> pods, Predicate<Pod> some, String zone) {
-        List<Pod> all = pods.stream().filter(some).toList();
-        return new Fleet(all, all.stream().filter(p -> p.is.zone().equals(zone)).toList());
+    double weight() {
+        return all.stream().mapToDouble(p -> p.is.weight()).sum();
     }
 }
--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -13,7 +13,6 @@
     long sickForNs;
     long sickUntilNs;
     final Mean slowness;
-    final Mean late;
     double coldLeft;
     private long coldAtNs;
 
@@ -21,7 +20,18 @@
         this.id = is.id();
         this.is = is;
         this.slowness = new Mean(halfLifeNs);
-        this.late = new Mean(2 * halfLifeNs);
+    }
+
+    /** It owes answers and has given none for long. */
+    boolean silent(long nowNs, double afterNs) {
+        return open > 0 && nowNs - owesSinceNs > afterNs;
+    }
+
+    void hear(long nowNs, boolean unanswered, boolean unreached) {
+        if (!unanswered) {
+            owesSinceNs = nowNs;
+            heardNs = unreached ? Long.MIN_VALUE / 2 : nowNs;
+        }
     }
 
     boolean ready() {
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -1,18 +1,14 @@
 package mulleinlever;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import mulleinlever.Settings.Control;
 import mulleinlever.Settings.Repeat;
-import mulleinlever.Settings.Scope;
 
 /**
  * Every decision of one sidecar: where a req goes, when it is tried again or given up, how the sidecar votes.
@@ -58,6 +54,8 @@
     private static final long STAND_IN_BACK = SECOND / 2;
 
     private static final long MEASURE_HALF_LIFE = 5 * SECOND;
+    /** What a route's tries are taken to need before any is seen, in shares of its objective. */
+    private static final double FIRST_MEAN = 0.25;
     private static final long SICK_FOR = 500 * MS;
     private static final long SICK_FOR_MOST = 8 * SECOND;
     private static final int SICK_STRIKES = 3;
@@ -99,27 +97,16 @@
 
     /** The design's detector, for one route and one symptom. */
     static final class Detector {
-        double mean;
-        double deviation;
-        double recent;
-        double samples;
+        final Averages is;
         State state = State.NORMAL;
 
         Detector(double mean, double samples) {
-            this.mean = mean;
-            this.samples = samples;
-        }
-
-        void learn(double sample) {
-            double w = Math.max(LONG_WEIGHT, 1.0 / ++samples);
-            mean = w * sample + (1 - w) * mean;
-            deviation = Math.sqrt(w * (sample - mean) * (sample - mean) + (1 - w) * deviation * deviation);
+            is = new Averages(mean, samples);
         }
 
         void judge(double sample, double n) {
-            recent = SHORT_WEIGHT * sample + (1 - SHORT_WEIGHT) * recent;
-            double floor = Math.max(DEVIATION_FLOOR, Math.sqrt(sample * (1 - sample) / n));
-            double above = (recent - mean) / Math.max(deviation, floor);
+            is.follow(sample, SHORT_WEIGHT);
+            double above = is.above(Math.max(DEVIATION_FLOOR, Math.sqrt(sample * (1 - sample) / n)));
             boolean held = state == State.ALARM && above >= ALARM_CLEARS_AT;
             State open = above > SUSPECT_AT ? State.SUSPECT : State.NORMAL;
             state = above > ALARM_AT || held ? State.ALARM : open;
@@ -133,13 +120,10 @@
     private final Map<String, Row> rows = new LinkedHashMap<>();
     private final Map<String, Pod> pods = new LinkedHashMap<>();
     // Surveyed at each change and tick, so that no req costs more on a larger fleet.
-    private List<Pod> ready = List.of();
-    private Fleet whole = Fleet.NONE;
-    private Fleet onTrial = Fleet.NONE;
-    private Fleet notOnTrial = Fleet.NONE;
-    private long warmOnTrial;
+    private Fleet whole = new Fleet(List.of(), "");
+    private Fleet onTrial = whole;
+    private Fleet notOnTrial = whole;
     private int places;
-    private double weights;
     private double silentAfterNs;
     private boolean panic;
     private boolean linksScarce;
@@ -163,10 +147,11 @@
     private long askAgainNs;
     private int asksFailed;
 
-    private final Map<Integer, Saved> exposure = new HashMap<>();
+    private final Exposure exposure;
     private final Map<Long, Integer> answeredBy = new HashMap<>();
 
-    private News news;
+    private boolean told;
+    private News news = new News(0, 0, News.Phase.RELEASED, 1, 0);
     private long stageSinceNs;
     private double everBefore;
     private Side earlier;
@@ -181,8 +166,9 @@
         this.rollout = set.rollout();
         this.host = host;
         this.random = new SplittableRandom(seed);
+        this.exposure = new Exposure(rollout, set.routes().size());
         for (Settings.Route r : set.routes()) {
-            rows.put(r.name(), new Row(r, rows.size(), 2 * MEASURE_HALF_LIFE));
+            rows.put(r.name(), new Row(r, rows.size(), 2 * MEASURE_HALF_LIFE, FIRST_MEAN));
         }
         earlier = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
         trial = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
@@ -210,26 +196,26 @@
         watching = true;
         asksFailed = 0;
         entries.forEach(e -> pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e));
+        if (!told) {
+            // Until there is news, all but the lowest build counts as on trial.
+            int lowest = pods.values().stream().mapToInt(p -> p.is.build()).min().orElse(0);
+            news = new News(lowest, 0, News.Phase.RELEASED, 1, 0);
+        }
         survey(now);
         serveLines(now);
     }
 
     private void survey(long now) {
-        ready = pods.values().stream().filter(Pod::ready).toList();
-        whole = Fleet.of(ready, p -> true, set.zone());
-        onTrial = Fleet.of(ready, p -> onTrial(p.is.build()), set.zone());
-        notOnTrial = Fleet.of(ready, p -> !onTrial(p.is.build()), set.zone());
-        onTrial.all().forEach(p -> saved(p.is.build()));
+        whole = new Fleet(pods.values().stream().filter(Pod::ready).toList(), set.zone());
+        onTrial = whole.only(p -> news.onTrial(p.is.build()));
+        notOnTrial = whole.only(p -> !news.onTrial(p.is.build()));
+        onTrial.all().forEach(p -> exposure.of(p.is.build()));
         places = onTrial.all().isEmpty() ? 0 : Math.max(places, notOnTrial.all().size());
-        warmOnTrial = onTrial.all().stream().filter(p -> !cold(now, p)).count();
-        weights = ready.stream().mapToDouble(p -> p.is.weight()).sum();
-        double slowest = rows.values().stream().mapToDouble(r -> meanNs(now, r)).max().orElse(SECOND);
-        silentAfterNs = SILENCE_MEANS * slowest;
-        room = room == 0 && !ready.isEmpty() ? ROOM_FIRST * leastRoom() : room;
-        // Pods that take no more connections look like dead ones; either way those that answered lately serve.
-        linksScarce = refused.read(now, 0, 4) > SCARCE
-                && ready.stream().filter(p -> linked(now, p)).count() > open;
-        panic = ready.stream().filter(p -> fit(now, p)).count() < PANIC_PART * ready.size();
+        silentAfterNs = SILENCE_MEANS * rows.values().stream().mapToDouble(r -> r.meanNs(now)).max().orElse(0);
+        room = room == 0 && !whole.all().isEmpty() ? ROOM_FIRST * leastRoom() : room;
+        // Pods that take no more connections look like dead ones; either way what answered lately serves.
+        linksScarce = refused.read(now, 0, 4) > SCARCE && whole.count(p -> linked(now, p)) > open;
+        panic = whole.count(p -> fit(now, p)) < PANIC_PART * whole.all().size();
     }
 
     /** Whether a watch still stands can't be told from this, so it is asked for again, ever more rarely. */
@@ -251,7 +237,7 @@
         Rq rq = new Rq(req, rows.get(req.route()), now);
         held.put(req.id(), rq);
         taken.add(now, 1);
-        earnExposure(rq.row);
+        exposure.earn(news, rq.row.at);
         if (random.nextDouble() < shedChance(now, rq)) {
             giveUp(now, rq);
         } else {
@@ -263,12 +249,8 @@
     private double shedChance(long now, Rq rq) {
         double waitNs = firstTries.size() / Math.max(1, completed.perSecond(now)) * SECOND;
         double pressure = waitNs / rq.row.is.objectiveNs() / LINE_WAIT - 0.25;
-        double mean = rows.values().stream().mapToDouble(r -> earningsPerNs(now, r)).average().orElse(0);
-        return Math.min(0.95, pressure * Math.min(CHEAPEST, Math.pow(mean / earningsPerNs(now, rq.row), 2)));
-    }
-
-    private double earningsPerNs(long now, Row row) {
-        return row.is.earnings() / meanNs(now, row);
+        double mean = rows.values().stream().mapToDouble(r -> r.earningsPerNs(now)).average().orElse(0);
+        return Math.min(0.95, pressure * Math.min(CHEAPEST, Math.pow(mean / rq.row.earningsPerNs(now), 2)));
     }
 
     private void join(long now, Rq rq) {
@@ -281,11 +263,9 @@
     /** When waiting stops making sense: the answer would come after the latency objective, or never. */
     private long lastChance(long now, Rq rq) {
         double objective = rq.row.is.objectiveNs();
-        double wait = rq.tries.isEmpty() ? LINE_WAIT * objective : objective - meanNs(now, rq.row);
+        double wait = rq.tries.isEmpty() ? LINE_WAIT * objective : objective - rq.row.meanNs(now);
         // Against a repeat that its pods no longer know for one: it may have waited here for long.
-        long dropped = rq.row.is.repeat() == Repeat.DEDUPED && rq.mayHaveRun() != null
-                ? rq.mayHaveRun().sentNs() + rq.row.is.dedupNs() : rq.dueNs;
-        return Math.min(rq.arrivedNs + (long) wait, Math.min(dropped, rq.dueNs) - 2 * set.stepNs());
+        return Math.min(rq.arrivedNs + (long) wait, rq.lastRelayNs() - 2 * set.stepNs());
     }
 
     private void serveLines(long now) {
@@ -295,18 +275,16 @@
 
     private void serve(long now, ArrayDeque<Rq> line) {
         // What finds no pod for one first try finds none for the next of its route: a long line costs little.
-        Set<Row> stuck = new HashSet<>();
+        boolean[] stuck = new boolean[rows.size()];
         for (Rq rq : List.copyOf(line)) {
             if (now >= lastChance(now, rq) && !rq.answered) {
                 giveUp(now, rq);
             }
-            if (rq.answered || !stuck.contains(rq.row) && send(now, rq)) {
+            if (rq.answered || !stuck[rq.row.at] && send(now, rq)) {
                 line.remove(rq);
             } else {
                 wake(Math.min(now + LINE_TICK, lastChance(now, rq)));
-                if (rq.tries.isEmpty()) {
-                    stuck.add(rq.row);
-                }
+                stuck[rq.row.at] |= rq.tries.isEmpty();
             }
         }
     }
@@ -325,9 +303,10 @@
         if (cold(now, pod)) {
             pod.coldLeft--;
         }
-        sent.add(now, onTrial(t.build()) ? 0 : 1);
-        if (onTrial(t.build())) {
-            saved(t.build()).spend(lane(rq.row));
+        if (news.onTrial(t.build())) {
+            exposure.spend(t.build(), rq.row.at);
+        } else {
+            sent.add(now, 1);
         }
         // No time-out of our own: one that a busy pod misses is work done twice; silent pods show sooner.
         host.relay(rq.is.id(), pod.id, rq.dueNs - now - set.stepNs());
@@ -350,12 +329,7 @@
         t.pod().open--;
         rq.end(tryNo, ending);
         open--;
-        if (!ending.neverRan()) {
-            lost.add(now, ending != Ending.OK && ending != Ending.ERROR && tookNs > silentAfterNs ? 1 : 0);
-        }
-        if (ending == Ending.CANCELLED && rq.calledBack) {
-            ease.add(now, Math.min(1, tookNs / (double) rq.row.is.objectiveNs()));
-        } else if (ending != Ending.MOOT && ending != Ending.CANCELLED) {
+        if (ending != Ending.MOOT) {
             measure(now, rq.row, t, ending, tookNs);
         }
         // A try called back late was late: else a slow build would hide behind the rescue of its reqs.
@@ -366,53 +340,44 @@
             answeredBy.merge(rq.is.key(), t.build(), Math::max);
         }
         rq.answered |= complete || rq.streaming;
-        if (rq.answered) {
-            callBackAll(rq);
-        } else if (rq.out.isEmpty()) {
-            if (mayGoAgain(now, rq)) {
-                join(now, rq);
-            } else {
-                giveUp(now, rq);
-            }
+        if (!rq.answered && rq.out.isEmpty() && mayGoAgain(now, rq)) {
+            join(now, rq);
+        } else if (!rq.answered && rq.out.isEmpty()) {
+            giveUp(now, rq);
         }
-        forgetIfDone(rq);
+        settle(rq);
         serveLines(now);
     }
 
     private boolean mayGoAgain(long now, Rq rq) {
-        return now < lastChance(now, rq) && rq.tries.size() < set.limits().maxTries()
-                && (rq.provenNotRun() || rq.row.is.repeat() != Repeat.NON_RETRIABLE);
+        return now < lastChance(now, rq) && rq.tries.size() < set.limits().maxTries() && rq.mayRepeat();
     }
 
     /** The answer goes out at once: a shed reply where a repeat is harmless, so the client may return. */
     private void giveUp(long now, Rq rq) {
         rq.answered = true;
-        if (rq.provenNotRun() || rq.row.is.repeat() == Repeat.RETRIABLE
-                || rq.row.is.repeat() == Repeat.DEDUPED && rq.row.is.scope() == Scope.ALL) {
+        if (rq.harmlessToShed()) {
             long backoff = Math.min(set.limits().maxRetryAfterNs(), rq.row.is.objectiveNs() / 4);
             host.shed(rq.is.id(), set.limits().retryAfter() ? backoff : 0);
         } else {
             host.error(rq.is.id());
         }
-        forgetIfDone(rq);
+        settle(rq);
     }
 
     public void clientGone(long now, String id) {
         Rq rq = held.get(id);
         if (rq != null) {
             rq.answered = true;
-            callBackAll(rq);
-            forgetIfDone(rq);
+            settle(rq);
         }
     }
 
-    private void callBackAll(Rq rq) {
-        if (set.limits().cancel() && !rq.streaming) {
+    /** What is still out after the answer serves nobody. */
+    private void settle(Rq rq) {
+        if (rq.answered && set.limits().cancel() && !rq.streaming) {
             rq.out.stream().forEach(no -> host.cancel(rq.is.id(), no));
         }
-    }
-
-    private void forgetIfDone(Rq rq) {
         if (rq.answered && rq.out.isEmpty()) {
             held.remove(rq.is.id());
         }
@@ -422,7 +387,7 @@
 
     /** Two random choices by load among the pods the req may go to, the first a near one if there is any. */
     private Pod pick(long now, Rq rq) {
-        double part = trialPart();
+        double part = trialPart(now);
         Pod pod = part == 0 ? null : twoChoices(now, rq, random.nextDouble() < part ? onTrial : notOnTrial);
         pod = pod == null ? twoChoices(now, rq, whole) : pod;
         return pod == null ? draw(now, rq, whole.all(), true) : pod;
@@ -432,16 +397,16 @@
      * The trial's pods carry what they will when released, as far as the cap and the rules leave room: that
      * proves the build under its load, and fewer wait for a good one. In doubt they get what verdicts need.
      */
-    private double trialPart() {
+    private double trialPart(long now) {
         if (rollout.oneWay()) {
             return onTrial.all().isEmpty() ? 0 : 1;
         }
-        return Math.min(trialPods(), state == State.NORMAL ? 1 - LEAST_PART : LEAST_PART);
+        return Math.min(trialPods(now), state == State.NORMAL ? 1 - LEAST_PART : LEAST_PART);
     }
 
-    /** The trial's warm pods, in parts of those that it is to replace: cold ones would leave them the load. */
-    private double trialPods() {
-        return Math.min(1, warmOnTrial / Math.max(1.0, places));
+    /** The trial's warm pods in parts of those it is to replace: cold ones would leave them the load. */
+    private double trialPods(long now) {
+        return Math.min(1, onTrial.count(p -> !cold(now, p)) / Math.max(1.0, places));
     }
 
     private Pod twoChoices(long now, Rq rq, Fleet of) {
@@ -474,43 +439,36 @@
         return p.open > 0 || now < p.heardNs + set.limits().connectionIdleNs();
     }
 
-    private boolean near(Pod p) {
-        return p.is.zone().equals(set.zone());
-    }
-
     private double load(long now, Pod p) {
-        double far = set.prices().crossZone() > 0 && !near(p) ? FAR_LOAD : 1;
+        double far = set.prices().crossZone() > 0 && !p.is.zone().equals(set.zone()) ? FAR_LOAD : 1;
         return far * (p.open + 1) * p.slowness.read(now, 1, 2) / Math.max(0.01, p.is.weight());
     }
 
     /** What no rule forbids. */
     private boolean allowed(long now, Rq rq, Pod p) {
-        return p.ready() && coldRoom(now, p) && exposureRoom(rq, p)
-                && (rq.mayHaveRun() == null || rq.row.is.repeat() != Repeat.DEDUPED
-                || rq.row.is.scope().holds(rq.mayHaveRun().pod().is, p.is));
-    }
-
-    private double meanNs(long now, Row row) {
-        return row.times.read(now, row.is.objectiveNs() / 4.0, 1);
+        return p.ready() && rq.mayGoTo(p.is) && exposureRoom(now, rq, p) && coldRoom(now, p);
     }
 
     private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
         Pod p = t.pod();
         boolean ok = ending == Ending.OK;
+        boolean unanswered = ending == Ending.TIMEOUT || ending == Ending.CANCELLED;
+        // What was never answered counts as just late: where most is, a jam would look like ease.
+        double part = tookNs / (double) row.is.objectiveNs();
+        ease.add(now, unanswered ? Math.min(1, part) : part);
+        lost.add(now, unanswered && tookNs > silentAfterNs ? 1 : 0);
+        if (ending == Ending.CANCELLED) {
+            return;
+        }
         boolean unreached = ending == Ending.CONNECT_FAILED;
         if (!t.linked()) {
             refused.add(now, unreached ? 1 : 0);
         }
-        p.heardNs = unreached ? now - set.limits().connectionIdleNs()
-                : ending == Ending.TIMEOUT ? p.heardNs : now;
-        p.owesSinceNs = ending == Ending.TIMEOUT ? p.owesSinceNs : now;
-        if (ok || ending == Ending.TIMEOUT) {
-            p.slowness.add(now, tookNs / meanNs(now, row));
+        p.hear(now, unanswered, unreached);
+        if (ok || unanswered) {
+            p.slowness.add(now, tookNs / row.meanNs(now));
             row.times.add(now, tookNs);
         }
-        // What was never answered counts as just late: where most is, a jam would look like ease.
-        double part = tookNs / (double) row.is.objectiveNs();
-        ease.add(now, ok ? part : Math.min(1, part));
         if (ok) {
             completed.add(now, 1);
             // A pod that fails half of its tries must not be cleared by one lucky answer.
@@ -524,12 +482,8 @@
 
     /** A pod that failed lately rests; then one try at a time shows whether it is back. */
     private boolean fit(long now, Pod p) {
-        return !silent(now, p) && (p.strikes < SICK_STRIKES || now >= p.sickUntilNs && p.open == 0);
-    }
-
-    /** Hung, cut off, paused or jammed: whatever the cause, it owes answers and has given none for long. */
-    private boolean silent(long now, Pod p) {
-        return p.open > 0 && now - p.owesSinceNs > silentAfterNs;
+        boolean rested = p.strikes < SICK_STRIKES || now >= p.sickUntilNs && p.open == 0;
+        return rested && !p.silent(now, silentAfterNs);
     }
 
     /** What lies at silent pods is called back, to go elsewhere; what may be lost on the way goes twice. */
@@ -541,7 +495,7 @@
             }
             int no = rq.out.nextSetBit(0);
             Pod at = rq.tries.get(no).pod();
-            if (set.limits().cancel() && silent(now, at)) {
+            if (set.limits().cancel() && at.silent(now, silentAfterNs)) {
                 rq.calledBack = true;
                 at.strikes = MOST_STRIKES;
                 at.sickUntilNs = now + SICK_FOR;
@@ -554,11 +508,11 @@
 
     /** When one more try would just come in time: against answers lost on the way and pods that stall. */
     private long secondCopyAt(long now, Rq rq) {
-        double mean = meanNs(now, rq.row);
+        double mean = rq.row.meanNs(now);
         double end = Math.min(rq.arrivedNs + rq.row.is.objectiveNs(), rq.dueNs);
         double at = Math.max(rq.last().sentNs() + COPY_AFTER * mean, end - COPY_LEAVES * mean);
-        boolean worth = lost.read(now, 2 * LOST, 10) > LOST && ease.read(now, 0, 1) < AT_EASE && at + mean < end;
-        return worth ? (long) at : Long.MAX_VALUE;
+        boolean strained = ease.read(now, 0, 1) > AT_EASE || lost.read(now, 2 * LOST, 10) < LOST;
+        return strained || at + mean > end ? Long.MAX_VALUE : (long) at;
     }
 
     /** Fewer tries lie at the pods the longer answers take: what waits here can be shed or go elsewhere. */
@@ -572,7 +526,7 @@
     }
 
     private double leastRoom() {
-        return Math.max(2, LEAST_A_POD * ready.size() / set.sidecars());
+        return Math.max(2, LEAST_A_POD * whole.all().size() / set.sidecars());
     }
 
     private boolean cold(long now, Pod p) {
@@ -597,59 +551,25 @@
     /** What each pod would complete a second from here if all did alike; before any did, what comes in. */
     private double evenShare(long now, Pod p) {
         double all = completed.perSecond(now) > 0 ? completed.perSecond(now) : taken.perSecond(now);
-        return all * p.is.weight() / weights;
+        return all * p.is.weight() / whole.weight();
     }
 
     // ---- Exposure.
 
-    private boolean onTrial(int build) {
-        if (news == null) {
-            return pods.values().stream().anyMatch(p -> p.is.build() < build);
-        }
-        return build > news.build() || build == news.build() && !news.released();
-    }
-
-    private boolean announced(int build) {
-        return news != null && build == news.build();
-    }
-
-    private double capOf(int build) {
-        return announced(build) ? news.cap() : rollout.caps().get(0);
-    }
-
-    private int lane(Row row) {
-        return rollout.countedByRoute() ? row.at : 0;
-    }
-
-    /** So that no window exceeds the rule, each req earns its share and only the free number is saved. */
-    private Saved saved(int build) {
-        return exposure.computeIfAbsent(build, b -> new Saved(rows.size(), rollout.uncounted()));
-    }
-
-    private void earnExposure(Row row) {
-        exposure.forEach((build, saved) -> saved.earn(lane(row), capOf(build)));
-    }
-
-    private boolean exposureRoom(Rq rq, Pod p) {
+    private boolean exposureRoom(long now, Rq rq, Pod p) {
         int build = p.is.build();
-        boolean stands = news != null && (news.onTrial() || news.released());
-        if (stands && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
+        if (news.stands() && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
             return false;
         }
-        if (!onTrial(build)) {
-            return true;
-        }
-        int stage = announced(build) ? news.stage() : 0;
-        if (capOf(build) <= 0 || stage < rollout.shieldedStages() && rq.row.is.repeat() != Repeat.RETRIABLE
-                || rollout.oneWay() && !oneWayKey(rq, build)) {
-            return false;
-        }
-        return saved(build).enough(lane(rq.row));
+        boolean shielded = news.stageOf(build) < rollout.shieldedStages()
+                && rq.row.is.repeat() != Repeat.RETRIABLE;
+        return !news.onTrial(build) || news.capOf(build, rollout) > 0 && !shielded
+                && (!rollout.oneWay() || oneWayKey(now, rq, build)) && exposure.enough(build, rq.row.at);
     }
 
     /** Where a key can't go back, the trial keeps to a part of the keys: their later reqs need room too. */
-    private boolean oneWayKey(Rq rq, int build) {
-        double part = Math.min(ONE_WAY_PART * capOf(build), trialPods());
+    private boolean oneWayKey(long now, Rq rq, int build) {
+        double part = Math.min(ONE_WAY_PART * news.capOf(build, rollout), trialPods(now));
         return answeredBy.getOrDefault(rq.is.key(), 0) == build
                 || new SplittableRandom(rq.is.key()).nextDouble() < part;
     }
@@ -658,14 +578,12 @@
 
     /** An outcome as evidence; pods not yet warm when it was sent are left out. */
     private void weigh(long now, Row row, Try t, Ending ending, long tookNs) {
-        if (news == null || !t.warm() || t.build() > news.build() || ending == Ending.CONNECT_FAILED) {
+        if (!t.warm() || t.build() > news.build() || ending == Ending.CONNECT_FAILED) {
             return;
         }
-        boolean judged = t.build() == news.build();
         boolean late = tookNs > row.lateNs;
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
-        t.pod().late.add(now, late ? 1 : 0);
-        (judged ? trial : earlier).own(now, row.at, failed, late);
+        side(t.build()).own(now, row.at, failed, late);
         if (ending == Ending.OK) {
             learnLate(now, row, t.build(), tookNs, 1);
         }
@@ -685,20 +603,22 @@
      */
     public void tally(long now, String route, int build, double n, double failed, long meanNs, long ageNs) {
         Row row = rows.get(route);
-        if (row == null || news == null || build > news.build() || !(n > 0) || meanNs <= 0) {
+        if (row == null || build > news.build() || !(n > 0) || meanNs <= 0) {
             return;
         }
         double done = Math.max(0, n - failed);
         long began = now - ageNs - rollout.tallyEveryNs();
-        boolean fresh = ready.stream().anyMatch(p -> p.is.build() == build && p.is.startedNs() > 0
-                && began < p.is.startedNs() + FRESH_PART * set.rules().warmAfterNs());
+        boolean fresh = whole.count(p -> p.is.build() == build && p.is.startedNs() > 0
+                && began < p.is.startedNs() + FRESH_PART * set.rules().warmAfterNs()) > 0;
         if (!fresh) {
             learnLate(now, row, build, meanNs, done);
         }
-        Side side = build == news.build() ? trial : earlier;
-        // A tally does not tell a refused connection from a fault, nor whose pods refuse more.
-        double told = refused.read(now, 0, 4) > SCARCE ? 0 : n;
-        side.tallied(now, row.at, told, told > 0 ? failed : 0, fresh ? 0 : n, done * Math.exp(-row.lateNs / meanNs));
+        double slow = done * Math.exp(-row.lateNs / meanNs);
+        side(build).tallied(now, row.at, n, failed, fresh ? 0 : n, slow);
+    }
+
+    private Side side(int build) {
+        return build == news.build() ? trial : earlier;
     }
 
     /**
@@ -710,33 +630,23 @@
         double share = share(now, trial, place, ofLate);
         // What it showed last stands on after the release takes it away.
         boolean reference = earlier.ever(place, ofLate) >= OUTCOME_FLOOR;
-        double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
+        double shift = reference ? share(now, earlier, place, ofLate) - d.is.mean : 0;
         double apart = Math.max(0, Math.min(1, share - Math.max(0, shift)));
-        boolean whole = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
-        double most = whole ? (earlier.late(now, place) - MINOR_PART) / (1 - MINOR_PART) : 0;
-        return whole ? Math.max(apart, Math.max(most, middleLate(now))) : apart;
-    }
-
-    /** Of the middle pod: where each is seen often, the lesser part can't tilt it at all. */
-    private double middleLate(long now) {
-        double[] late = ready.stream().filter(p -> !cold(now, p))
-                .mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
-        return late.length == 0 ? 0 : late[(late.length - 1) / 2];
+        boolean all = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
+        return all ? Math.max(apart, (earlier.late(now, place) - MINOR_PART) / (1 - MINOR_PART)) : apart;
     }
 
     /** What this sidecar sends a second to each fit pod that is not on trial. */
     private double loadNow(long now) {
-        long fit = ready.stream().filter(p -> !onTrial(p.is.build()) && fit(now, p)).count();
-        return sent.perSecond(now) / Math.max(1, fit);
+        return sent.perSecond(now) / Math.max(1, notOnTrial.count(p -> fit(now, p)));
     }
 
     public void flagged(long now, String podId, String route) {
         Pod p = pods.get(podId);
         Row row = rows.get(route);
-        if (p == null || row == null || news == null || p.is.build() > news.build()) {
-            return;
+        if (p != null && row != null && p.is.build() <= news.build()) {
+            side(p.is.build()).flag(now, row.at);
         }
-        (p.is.build() == news.build() ? trial : earlier).flag(now, row.at);
     }
 
     private double share(long now, Side side, int place, boolean ofLate) {
@@ -746,10 +656,13 @@
         // One report stands for all the wrong answers that nobody reported.
         double flags = side.flags(now, place);
         double wrong = flags == 0 ? 0 : flags / rollout.complaintShare();
-        // With nothing left to compare with, failures that come long after the release are not the build's.
-        boolean failuresCount = news.onTrial() || now < stageSinceNs + PROOF_WAIT || side == earlier;
-        return Math.min(1, (failuresCount ? side.failed(now, place) : 0)
-                + wrong / Math.max(1, side.relayed(now, place)));
+        double failed = side == earlier || compared(now) ? side.failed(now, place) : 0;
+        return Math.min(1, failed + wrong / Math.max(1, side.relayed(now, place)));
+    }
+
+    /** Long after a release nothing is left to compare with: what goes wrong then is not the build's. */
+    private boolean compared(long now) {
+        return news.onTrial() || now < stageSinceNs + PROOF_WAIT;
     }
 
     private void judge(long now) {
@@ -764,19 +677,19 @@
             int place = i / 2;
             boolean ofLate = i % 2 == 1;
             if (learns && steady.seen(now, place, ofLate) >= REFERENCE_FLOOR) {
-                d.learn(share(now, steady, place, ofLate));
+                d.is.learn(share(now, steady, place, ofLate), LONG_WEIGHT);
             }
             double n = trial.seen(now, place, ofLate);
-            // A release takes pods away: what is late after it says nothing of the build.
             double m = earlier.seen(now, place, ofLate);
-            if (trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && m >= 1 && (news.onTrial() || now < stageSinceNs + PROOF_WAIT)) {
+            boolean enough = trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && m >= 1;
+            if (enough && (!ofLate || compared(now))) {
                 // What it is compared with was seen in so many cases only: that widens the deviation too.
                 d.judge(sample(now, place, ofLate, d), n * m / (n + m));
             }
             if (d.state.ordinal() > worst.ordinal()) {
                 worst = d.state;
                 String what = ofLate ? "late" : "failed or flagged";
-                why = String.format(", %s %.2f against %.2f", what, d.recent, d.mean);
+                why = String.format(", %s %.2f against %.2f", what, d.is.recent, d.is.mean);
             }
         }
         if (worst != state) {
@@ -787,25 +700,28 @@
 
     // ---- News and votes.
 
-    public void news(long now, News told) {
-        boolean other = news == null || news.build() != told.build();
+    public void news(long now, News n) {
+        boolean other = news.build() != n.build();
         if (other) {
             // What was released is the earlier build from now on; what was taken off never was.
-            earlier = news != null && news.released() ? trial : earlier;
+            earlier = news.released() ? trial : earlier;
             trial = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
             state = State.NORMAL;
             for (Detector d : detectors) {
                 d.state = State.NORMAL;
-                d.recent = d.mean;
+                d.is.recent = d.is.mean;
             }
         }
-        if (other || news.stage() != told.stage() || news.phase() != told.phase()) {
-            host.log(told.name() + " " + told.phase());
+        if (other || news.stage() != n.stage() || news.phase() != n.phase()) {
+            if (told) {
+                host.log(n.name() + " " + n.phase());
+            }
             ballot.clear();
             everBefore = trial.ever(rows.size(), true);
         }
-        news = told;
-        stageSinceNs = now - told.ageNs();
+        told = true;
+        news = n;
+        stageSinceNs = now - n.ageNs();
         survey(now);
         vote(now);
         serveLines(now);
@@ -868,16 +784,14 @@
         switch (token) {
             case "sample" -> {
                 host.timer(now + SECOND, token);
-                if (news != null) {
-                    if (loadNow(now) > MORE_LOAD * usualLoad.read(now, 0, 1e-9)) {
-                        unsteadyUntilNs = now + SAMPLE_HALF_LIFE;
-                    }
-                    if (!news.onTrial()) {
-                        usualLoad.add(now, loadNow(now));
-                    }
-                    judge(now);
-                    vote(now);
+                if (loadNow(now) > MORE_LOAD * usualLoad.read(now, 0, 1e-9)) {
+                    unsteadyUntilNs = now + SAMPLE_HALF_LIFE;
+                }
+                if (!news.onTrial()) {
+                    usualLoad.add(now, loadNow(now));
                 }
+                judge(now);
+                vote(now);
             }
             case "tick" -> {
                 host.timer(now + TICK, token);
--- a/src/main/java/mulleinlever/Row.java
+++ b/src/main/java/mulleinlever/Row.java
@@ -8,11 +8,22 @@
     final Mean usual;
     double lateNs;
 
-    Row(Settings.Route is, int at, long halfLifeNs) {
+    private final double firstNs;
+
+    Row(Settings.Route is, int at, long halfLifeNs, double firstMean) {
         this.is = is;
         this.at = at;
         this.lateNs = is.objectiveNs();
         this.times = new Mean(halfLifeNs);
         this.usual = new Mean(2 * halfLifeNs);
+        this.firstNs = firstMean * is.objectiveNs();
+    }
+
+    double meanNs(long nowNs) {
+        return times.read(nowNs, firstNs, 1);
+    }
+
+    double earningsPerNs(long nowNs) {
+        return is.earnings() / meanNs(nowNs);
     }
 }
--- a/src/main/java/mulleinlever/Rq.java
+++ b/src/main/java/mulleinlever/Rq.java
@@ -45,7 +45,25 @@
         return tries.get(tries.size() - 1);
     }
 
-    boolean provenNotRun() {
-        return mayHaveRun() == null;
+    boolean mayRepeat() {
+        return row.is.repeat() != Settings.Repeat.NON_RETRIABLE || mayHaveRun() == null;
+    }
+
+    /** Whether a client told to try again can do no harm. */
+    boolean harmlessToShed() {
+        return mayHaveRun() == null || row.is.repeat() == Settings.Repeat.RETRIABLE
+                || row.is.repeat() == Settings.Repeat.DEDUPED && row.is.scope() == Settings.Scope.ALL;
+    }
+
+    /** Once it may have run, a deduped req stays with the pods that drop its repeats. */
+    boolean mayGoTo(PodEntry pod) {
+        return row.is.repeat() != Settings.Repeat.DEDUPED || mayHaveRun() == null
+                || row.is.scope().holds(mayHaveRun().pod().is, pod);
+    }
+
+    /** When its client leaves, or the pods that drop its repeats begin to forget it. */
+    long lastRelayNs() {
+        return row.is.repeat() != Settings.Repeat.DEDUPED || mayHaveRun() == null ? dueNs
+                : Math.min(dueNs, mayHaveRun().sentNs() + row.is.dedupNs());
     }
 }
