--- a/src/main/java/mulleinlever/Fleet.java
+++ b/src/main/java/mulleinlever/Fleet.java
@@ -1,6 +1,7 @@
 package mulleinlever;
 
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
 
 /** Pods that a req may be sent among, and those of them that are near. */
@@ -13,6 +14,18 @@
         return new Fleet(all.stream().filter(some).toList(), near.stream().filter(some).toList());
     }
 
+    /** One at random of those that fit, by a few looks; all are gone through only if none of these does. */
+    static Pod draw(List<Pod> from, SplittableRandom random, int looks, Predicate<Pod> fits) {
+        int at = 0;
+        for (int i = 0; i < looks + from.size() && !from.isEmpty(); i++) {
+            at = i < looks ? random.nextInt(from.size()) : (at + 1) % from.size();
+            if (fits.test(from.get(at))) {
+                return from.get(at);
+            }
+        }
+        return null;
+    }
+
     long count(Predicate<Pod> some) {
         return all.stream().filter(some).count();
     }
--- a/src/main/java/mulleinlever/News.java
+++ b/src/main/java/mulleinlever/News.java
@@ -1,5 +1,8 @@
 package mulleinlever;
 
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
 /** Where the newest build stands, as the platform knew a short while before. */
 public record News(int build, int stage, Phase phase, double cap, long ageNs) {
     public enum Phase { ON_TRIAL, REVERTING, RELEASED, WITHDRAWN }
@@ -29,6 +32,15 @@
         return onTrial() || released();
     }
 
+    /** How many sidecars rank under this one by a hash of build, stage and number. */
+    int ranked(int rank, int sidecars) {
+        return (int) IntStream.range(0, sidecars).filter(i -> hash(i) < hash(rank)).count();
+    }
+
+    private long hash(int rank) {
+        return new SplittableRandom((build * 1000L + stage) * 100_003L + rank).nextLong();
+    }
+
     boolean released() {
         return phase == Phase.RELEASED;
     }
--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -10,9 +10,9 @@
     long owesSinceNs;
     long heardNs = Long.MIN_VALUE / 2;
     int strikes;
-    long sickForNs;
     long sickUntilNs;
     final Mean slowness;
+    final Mean late;
     double coldLeft;
     private long coldAtNs;
 
@@ -20,6 +20,7 @@
         this.id = is.id();
         this.is = is;
         this.slowness = new Mean(halfLifeNs);
+        this.late = new Mean(2 * halfLifeNs);
     }
 
     /** It owes answers and has given none for long. */
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -39,7 +39,7 @@
     private static final double LATE_MEANS = -Math.log(1 - LATE_QUANTILE);
     /** Outcomes that the earlier build must have shown lately before its share is a sample. */
     private static final double REFERENCE_FLOOR = 5;
-    private static final double MINOR_PART = 0.25;
+    private static final double MINOR = 0.25;
     /** How much more than usual the pods must have to do before lateness on all is put down to that. */
     private static final double MORE_LOAD = 1.25;
     /** The part of the longest warming time in which outcomes tell of a pod's cold, not of its build. */
@@ -47,7 +47,8 @@
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
     private static final long PROOF_WAIT = 10 * SECOND;
-    /** Reports are rarer than outcomes and late, so they are kept for longer. */
+    /** Reports are rare and late, so they are kept for longer; so few may be mistaken, and alarm nobody. */
+    private static final double FEW_FLAGS = 2.5;
     private static final long FLAG_HALF_LIFE = 30 * SECOND;
     /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
     private static final long STAND_IN_ON = 2 * SECOND;
@@ -57,7 +58,6 @@
     /** What a route's tries are taken to need before any is seen, in shares of its objective. */
     private static final double FIRST_MEAN = 0.25;
     private static final long SICK_FOR = 500 * MS;
-    private static final long SICK_FOR_MOST = 8 * SECOND;
     private static final int SICK_STRIKES = 3;
     private static final int MOST_STRIKES = 6;
     /** Pods looked at by chance before all are gone through. */
@@ -81,8 +81,9 @@
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
-    /** The least part that each build keeps while the other has most: both are needed to tell them apart. */
-    private static final double LEAST_PART = 0.08;
+    /** What the earlier build keeps to compare with, and what a trial in doubt gets: less is a slower verdict. */
+    private static final double KEPT = 0.08;
+    private static final double IN_DOUBT = 0.15;
     /** What a cold pod may get, times what one that can do so much gets: the rule leaves room for chance. */
     private static final double COLD_MARGIN = 1.25;
     /** Second copies go out while more than this share of tries is never answered; one waits for so many mean
@@ -90,8 +91,7 @@
     private static final double LOST = 0.02;
     private static final double COPY_AFTER = 1.5;
     private static final double COPY_LEAVES = 2;
-    private static final long TICK = 100 * MS;
-    private static final long LINE_TICK = 25 * MS;
+    private static final long TICK = 50 * MS;
 
     enum State { NORMAL, SUSPECT, ALARM }
 
@@ -104,12 +104,12 @@
             is = new Averages(mean, samples);
         }
 
-        void judge(double sample, double n) {
+        void judge(double sample, double n, boolean sure) {
             is.follow(sample, SHORT_WEIGHT);
             double above = is.above(Math.max(DEVIATION_FLOOR, Math.sqrt(sample * (1 - sample) / n)));
             boolean held = state == State.ALARM && above >= ALARM_CLEARS_AT;
             State open = above > SUSPECT_AT ? State.SUSPECT : State.NORMAL;
-            state = above > ALARM_AT || held ? State.ALARM : open;
+            state = above > ALARM_AT && sure || held ? State.ALARM : open;
         }
     }
 
@@ -141,7 +141,6 @@
     private final Decay taken = new Decay(MEASURE_HALF_LIFE);
     private final Decay completed = new Decay(MEASURE_HALF_LIFE);
     private final Mean usualLoad = new Mean(2 * MEASURE_HALF_LIFE);
-    private long wakeNs;
 
     private boolean watching;
     private long askAgainNs;
@@ -211,7 +210,8 @@
         notOnTrial = whole.only(p -> !news.onTrial(p.is.build()));
         onTrial.all().forEach(p -> exposure.of(p.is.build()));
         places = onTrial.all().isEmpty() ? 0 : Math.max(places, notOnTrial.all().size());
-        silentAfterNs = SILENCE_MEANS * rows.values().stream().mapToDouble(r -> r.meanNs(now)).max().orElse(0);
+        double slowest = rows.values().stream().mapToDouble(r -> r.meanNs(now)).max().orElse(0);
+        silentAfterNs = SILENCE_MEANS * slowest;
         room = room == 0 && !whole.all().isEmpty() ? ROOM_FIRST * leastRoom() : room;
         // Pods that take no more connections look like dead ones; either way what answered lately serves.
         linksScarce = refused.read(now, 0, 4) > SCARCE && whole.count(p -> linked(now, p)) > open;
@@ -254,9 +254,10 @@
     }
 
     private void join(long now, Rq rq) {
-        if (!send(now, rq)) {
+        if (now >= lastChance(now, rq) && !send(now, rq)) {
+            giveUp(now, rq);
+        } else if (now < lastChance(now, rq) && !send(now, rq)) {
             (rq.tries.isEmpty() ? firstTries : furtherTries).add(rq);
-            wake(Math.min(now + LINE_TICK, lastChance(now, rq)));
         }
     }
 
@@ -265,7 +266,7 @@
         double objective = rq.row.is.objectiveNs();
         double wait = rq.tries.isEmpty() ? LINE_WAIT * objective : objective - rq.row.meanNs(now);
         // Against a repeat that its pods no longer know for one: it may have waited here for long.
-        return Math.min(rq.arrivedNs + (long) wait, rq.lastRelayNs() - 2 * set.stepNs());
+        return Math.min(rq.arrivedNs + (long) wait, rq.lastRelayNs() - TICK - 2 * set.stepNs());
     }
 
     private void serveLines(long now) {
@@ -283,7 +284,6 @@
             if (rq.answered || !stuck[rq.row.at] && send(now, rq)) {
                 line.remove(rq);
             } else {
-                wake(Math.min(now + LINE_TICK, lastChance(now, rq)));
                 stuck[rq.row.at] |= rq.tries.isEmpty();
             }
         }
@@ -390,7 +390,7 @@
         double part = trialPart(now);
         Pod pod = part == 0 ? null : twoChoices(now, rq, random.nextDouble() < part ? onTrial : notOnTrial);
         pod = pod == null ? twoChoices(now, rq, whole) : pod;
-        return pod == null ? draw(now, rq, whole.all(), true) : pod;
+        return pod == null ? Fleet.draw(whole.all(), random, DRAWS, p -> allowed(now, rq, p)) : pod;
     }
 
     /**
@@ -401,7 +401,7 @@
         if (rollout.oneWay()) {
             return onTrial.all().isEmpty() ? 0 : 1;
         }
-        return Math.min(trialPods(now), state == State.NORMAL ? 1 - LEAST_PART : LEAST_PART);
+        return Math.min(trialPods(now), state == State.NORMAL ? 1 - KEPT : IN_DOUBT);
     }
 
     /** The trial's warm pods in parts of those it is to replace: cold ones would leave them the load. */
@@ -410,22 +410,13 @@
     }
 
     private Pod twoChoices(long now, Rq rq, Fleet of) {
-        Pod a = draw(now, rq, of.near(), false);
-        Pod b = draw(now, rq, of.all(), false);
+        Pod a = draw(now, rq, of.near());
+        Pod b = draw(now, rq, of.all());
         return a == null || b != null && load(now, b) < load(now, a) ? b : a;
     }
 
-    /** One at random of those that suit the req, at the cost of a few looks unless hardly any does. */
-    private Pod draw(long now, Rq rq, List<Pod> from, boolean lastResort) {
-        int at = 0;
-        for (int i = 0; i < DRAWS + from.size() && !from.isEmpty(); i++) {
-            at = i < DRAWS ? random.nextInt(from.size()) : (at + 1) % from.size();
-            Pod p = from.get(at);
-            if ((lastResort || suits(now, rq, p)) && allowed(now, rq, p)) {
-                return p;
-            }
-        }
-        return null;
+    private Pod draw(long now, Rq rq, List<Pod> from) {
+        return Fleet.draw(from, random, DRAWS, p -> suits(now, rq, p) && allowed(now, rq, p));
     }
 
     /** Where most pods fail, resting them would jam the few: then they are no worse than the rest. */
@@ -475,8 +466,7 @@
             p.strikes = Math.max(0, p.strikes - 1);
         } else if (ending != Ending.FULL) {
             p.strikes = Math.min(MOST_STRIKES, p.strikes + 2);
-            p.sickForNs = p.strikes <= 2 ? SICK_FOR : Math.min(SICK_FOR_MOST, 2 * p.sickForNs);
-            p.sickUntilNs = now + p.sickForNs;
+            p.sickUntilNs = now + (SICK_FOR << p.strikes - 2);
         }
     }
 
@@ -489,8 +479,7 @@
     /** What lies at silent pods is called back, to go elsewhere; what may be lost on the way goes twice. */
     private void rescue(long now) {
         for (Rq rq : held.values()) {
-            if (rq.out.cardinality() != 1 || rq.answered || rq.streaming || rq.calledBack
-                    || !mayGoAgain(now, rq)) {
+            if (!rq.waitsForOne() || !mayGoAgain(now, rq)) {
                 continue;
             }
             int no = rq.out.nextSetBit(0);
@@ -543,17 +532,13 @@
         }
         double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
-        double rate = COLD_MARGIN * can * evenShare(now, p);
+        // What each pod would complete a second from here if all did alike; before any did, what comes in.
+        double all = completed.perSecond(now) > 0 ? completed.perSecond(now) : taken.perSecond(now);
+        double rate = COLD_MARGIN * can * all * p.is.weight() / whole.weight();
         double most = Math.max(1, rate * set.rules().fallNs() / SECOND);
         return p.saveCold(now, rate, most, random) >= 1;
     }
 
-    /** What each pod would complete a second from here if all did alike; before any did, what comes in. */
-    private double evenShare(long now, Pod p) {
-        double all = completed.perSecond(now) > 0 ? completed.perSecond(now) : taken.perSecond(now);
-        return all * p.is.weight() / whole.weight();
-    }
-
     // ---- Exposure.
 
     private boolean exposureRoom(long now, Rq rq, Pod p) {
@@ -583,6 +568,7 @@
         }
         boolean late = tookNs > row.lateNs;
         boolean failed = ending == Ending.ERROR || ending == Ending.RESET;
+        t.pod().late.add(now, late ? 1 : 0);
         side(t.build()).own(now, row.at, failed, late);
         if (ending == Ending.OK) {
             learnLate(now, row, t.build(), tookNs, 1);
@@ -632,8 +618,17 @@
         boolean reference = earlier.ever(place, ofLate) >= OUTCOME_FLOOR;
         double shift = reference ? share(now, earlier, place, ofLate) - d.is.mean : 0;
         double apart = Math.max(0, Math.min(1, share - Math.max(0, shift)));
-        boolean all = ofLate && place == rows.size() && reference && now >= unsteadyUntilNs;
-        return all ? Math.max(apart, (earlier.late(now, place) - MINOR_PART) / (1 - MINOR_PART)) : apart;
+        if (!ofLate || place < rows.size() || !reference || now < unsteadyUntilNs) {
+            return apart;
+        }
+        return Math.max(apart, Math.max(middleLate(now), (earlier.late(now, place) - MINOR) / (1 - MINOR)));
+    }
+
+    /** Of the middle pod, which the lesser part can't tilt at all: where each is seen often. */
+    private double middleLate(long now) {
+        double[] late = whole.all().stream().filter(p -> !cold(now, p))
+                .mapToDouble(p -> p.late.read(now, 1 - LATE_QUANTILE, 2)).sorted().toArray();
+        return late.length == 0 ? 0 : late[(late.length - 1) / 2];
     }
 
     /** What this sidecar sends a second to each fit pod that is not on trial. */
@@ -653,11 +648,14 @@
         if (ofLate) {
             return side.late(now, place);
         }
-        // One report stands for all the wrong answers that nobody reported.
-        double flags = side.flags(now, place);
-        double wrong = flags == 0 ? 0 : flags / rollout.complaintShare();
         double failed = side == earlier || compared(now) ? side.failed(now, place) : 0;
-        return Math.min(1, failed + wrong / Math.max(1, side.relayed(now, place)));
+        return Math.min(1, failed + wrong(now, side, place));
+    }
+
+    /** One report stands for all the wrong answers that nobody reported. */
+    private double wrong(long now, Side side, int place) {
+        double flags = side.flags(now, place);
+        return flags == 0 ? 0 : flags / rollout.complaintShare() / Math.max(1, side.relayed(now, place));
     }
 
     /** Long after a release nothing is left to compare with: what goes wrong then is not the build's. */
@@ -683,8 +681,10 @@
             double m = earlier.seen(now, place, ofLate);
             boolean enough = trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && m >= 1;
             if (enough && (!ofLate || compared(now))) {
+                boolean sure = ofLate || trial.flags(now, place) > FEW_FLAGS
+                        || trial.failed(now, place) >= wrong(now, trial, place);
                 // What it is compared with was seen in so many cases only: that widens the deviation too.
-                d.judge(sample(now, place, ofLate, d), n * m / (n + m));
+                d.judge(sample(now, place, ofLate, d), n * m / (n + m), sure);
             }
             if (d.state.ordinal() > worst.ordinal()) {
                 worst = d.state;
@@ -769,17 +769,10 @@
             case MAJORITY -> v == Verdict.ON ? rollout.onVotes() : rollout.backVotes();
             case CLOCKED -> v == Verdict.HOLD ? rollout.holdVotes() : rollout.backVotes();
         };
-        int before = 0;
-        for (int i = 0; i < set.sidecars(); i++) {
-            before += hash(i) < hash(set.rank()) ? 1 : 0;
-        }
+        int before = news.ranked(set.rank(), set.sidecars());
         return Math.max(0, before - voters + 1) * (v == Verdict.BACK ? STAND_IN_BACK : STAND_IN_ON);
     }
 
-    private long hash(int rank) {
-        return new SplittableRandom((news.build() * 1000L + news.stage()) * 100_003L + rank).nextLong();
-    }
-
     public void timer(long now, String token) {
         switch (token) {
             case "sample" -> {
@@ -802,15 +795,9 @@
                     askForList(now);
                 }
             }
-            default -> wakeNs = now >= wakeNs ? 0 : wakeNs;
+            default -> { }
         }
         serveLines(now);
     }
 
-    private void wake(long atNs) {
-        if (wakeNs == 0 || atNs < wakeNs) {
-            wakeNs = atNs;
-            host.timer(atNs, "wake");
-        }
-    }
 }
--- a/src/main/java/mulleinlever/Rq.java
+++ b/src/main/java/mulleinlever/Rq.java
@@ -41,6 +41,10 @@
         return no < tries.size() ? tries.get(no) : null;
     }
 
+    boolean waitsForOne() {
+        return out.cardinality() == 1 && !answered && !streaming && !calledBack;
+    }
+
     Try last() {
         return tries.get(tries.size() - 1);
     }
--- a/src/test/java/mulleinlever/DetectorTest.java
+++ b/src/test/java/mulleinlever/DetectorTest.java
@@ -21,16 +21,16 @@
         var d = new Policy.Detector(0, 0);
         d.is.learn(0.0, 0.02);
         // With the floor of 0.02: suspect above 0.05, alarm above 0.09, clear below 0.01.
-        d.judge(0.12, 10_000);
+        d.judge(0.12, 10_000, true);
         assertEquals(Policy.State.SUSPECT, d.state);
-        d.judge(0.16, 10_000);
+        d.judge(0.16, 10_000, true);
         assertEquals(0.11, d.is.recent, 1e-12);
         assertEquals(Policy.State.ALARM, d.state);
-        d.judge(0.0, 10_000);
-        d.judge(0.0, 10_000);
+        d.judge(0.0, 10_000, true);
+        d.judge(0.0, 10_000, true);
         assertEquals(Policy.State.ALARM, d.state);
-        d.judge(0.0, 10_000);
-        d.judge(0.0, 10_000);
+        d.judge(0.0, 10_000, true);
+        d.judge(0.0, 10_000, true);
         assertEquals(Policy.State.NORMAL, d.state);
     }
 }
