--- a/src/main/java/mulleinlever/Averages.java
+++ b/src/main/java/mulleinlever/Averages.java
@@ -1,7 +1,7 @@
 package mulleinlever;
 
 /** The design's moving averages: the long-term one with its deviation, and the short-term one. */
-final class Averages {
+class Averages {
     double mean;
     double deviation;
     double recent;
--- a/src/main/java/mulleinlever/Ballot.java
+++ b/src/main/java/mulleinlever/Ballot.java
@@ -20,17 +20,15 @@
         askedNs = nowNs;
     }
 
-    void counted(long standsNs) {
-        standing = asked == null ? standing : asked;
-        standsUntilNs = asked == null ? standsUntilNs : askedNs + standsNs;
+    void answered(boolean counts, long standsNs, long tryAgainNs) {
+        if (counts && asked != null) {
+            standing = asked;
+            standsUntilNs = askedNs + standsNs;
+        }
+        againNs = counts ? againNs : tryAgainNs;
         asked = null;
     }
 
-    void failed(long tryAgainNs) {
-        asked = null;
-        againNs = tryAgainNs;
-    }
-
     /** A vote is for one build and stage: on any other nothing stands. */
     void clear() {
         standing = Verdict.NONE;
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -7,8 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import mulleinlever.Settings.Control;
-import mulleinlever.Settings.Repeat;
+import java.util.function.Predicate;
 
 /**
  * Every decision of one sidecar: where a req goes, when it is tried again or given up, how the sidecar votes.
@@ -33,15 +32,13 @@
     /** The sample is itself a sum over some seconds, so that one second of thin traffic raises no alarm. */
     private static final double SHORT_WEIGHT = 0.5;
     private static final long SAMPLE_HALF_LIFE = 10 * SECOND;
-    /** A try is late above this quantile of the earlier build: lower drowns in noise, higher is rare. */
+    /** A try is late above this quantile, which lies at so many mean times if these fall off evenly. */
     private static final double LATE_QUANTILE = 0.8;
-    /** Where that quantile lies, in mean times, if these fall off evenly as most do. */
     private static final double LATE_MEANS = -Math.log(1 - LATE_QUANTILE);
-    /** Outcomes that the earlier build must have shown lately before its share is a sample. */
+    /** Outcomes lately that make the earlier build's share a sample. */
     private static final double REFERENCE_FLOOR = 5;
+    /** The part of the pods that may be in trouble of its own: more hides builds that slow all. */
     private static final double MINOR = 0.25;
-    /** How much more than usual the pods must have to do before lateness on all is put down to that. */
-    private static final double MORE_LOAD = 1.25;
     /** The part of the longest warming time in which outcomes tell of a pod's cold, not of its build. */
     private static final double FRESH_PART = 0.7;
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
@@ -60,11 +57,9 @@
     private static final long SICK_FOR = 500 * MS;
     private static final int SICK_STRIKES = 3;
     private static final int MOST_STRIKES = 6;
-    /** Pods looked at by chance before all are gone through. */
     private static final int DRAWS = 16;
     /** Share of new connections refused above which only pods that were heard lately are used. */
     private static final double SCARCE = 0.25;
-    /** Pods rest only while this part of those a req may go to is left. */
     private static final double PANIC_PART = 0.5;
     /** A pod that owes answers and gave none for so many mean times of the slowest route is silent. */
     private static final double SILENCE_MEANS = 4;
@@ -77,15 +72,12 @@
     private static final double LINE_WAIT = 0.35;
     /** How many times sooner than a usual req a cheap one is shed, by its earnings for the time taken. */
     private static final double CHEAPEST = 4;
-    /** How much less loaded a far pod must be, where tries that cross zones cost. */
     private static final double FAR_LOAD = 1.5;
     /** The part of the cap that keys which can't go back may take: their later reqs need room too. */
     private static final double ONE_WAY_PART = 0.7;
-    /** What the earlier build keeps to compare with, and what a trial in doubt gets: less is a slower verdict. */
+    /** What the earlier build keeps to compare with, and what a trial in doubt gets: less delays verdicts. */
     private static final double KEPT = 0.08;
     private static final double IN_DOUBT = 0.15;
-    /** What a cold pod may get, times what one that can do so much gets: the rule leaves room for chance. */
-    private static final double COLD_MARGIN = 1.25;
     /** Second copies go out while more than this share of tries is never answered; one waits for so many mean
      * times of its route, and leaves that many for itself. */
     private static final double LOST = 0.02;
@@ -96,17 +88,16 @@
     enum State { NORMAL, SUSPECT, ALARM }
 
     /** The design's detector, for one route and one symptom. */
-    static final class Detector {
-        final Averages is;
+    static final class Detector extends Averages {
         State state = State.NORMAL;
 
         Detector(double mean, double samples) {
-            is = new Averages(mean, samples);
+            super(mean, samples);
         }
 
         void judge(double sample, double n, boolean sure) {
-            is.follow(sample, SHORT_WEIGHT);
-            double above = is.above(Math.max(DEVIATION_FLOOR, Math.sqrt(sample * (1 - sample) / n)));
+            follow(sample, SHORT_WEIGHT);
+            double above = above(Math.max(DEVIATION_FLOOR, Math.sqrt(sample * (1 - sample) / n)));
             boolean held = state == State.ALARM && above >= ALARM_CLEARS_AT;
             State open = above > SUSPECT_AT ? State.SUSPECT : State.NORMAL;
             state = above > ALARM_AT && sure || held ? State.ALARM : open;
@@ -136,11 +127,8 @@
     private final Mean ease = new Mean(SECOND);
     private double room;
     private int open;
-    private long unsteadyUntilNs;
-    private final Decay sent = new Decay(2 * SECOND);
     private final Decay taken = new Decay(MEASURE_HALF_LIFE);
     private final Decay completed = new Decay(MEASURE_HALF_LIFE);
-    private final Mean usualLoad = new Mean(2 * MEASURE_HALF_LIFE);
 
     private boolean watching;
     private long askAgainNs;
@@ -265,7 +253,6 @@
     private long lastChance(long now, Rq rq) {
         double objective = rq.row.is.objectiveNs();
         double wait = rq.tries.isEmpty() ? LINE_WAIT * objective : objective - rq.row.meanNs(now);
-        // Against a repeat that its pods no longer know for one: it may have waited here for long.
         return Math.min(rq.arrivedNs + (long) wait, rq.lastRelayNs() - TICK - 2 * set.stepNs());
     }
 
@@ -305,8 +292,6 @@
         }
         if (news.onTrial(t.build())) {
             exposure.spend(t.build(), rq.row.at);
-        } else {
-            sent.add(now, 1);
         }
         // No time-out of our own: one that a busy pod misses is work done twice; silent pods show sooner.
         host.relay(rq.is.id(), pod.id, rq.dueNs - now - set.stepNs());
@@ -373,7 +358,6 @@
         }
     }
 
-    /** What is still out after the answer serves nobody. */
     private void settle(Rq rq) {
         if (rq.answered && set.limits().cancel() && !rq.streaming) {
             rq.out.stream().forEach(no -> host.cancel(rq.is.id(), no));
@@ -383,7 +367,7 @@
         }
     }
 
-    // ---- Choosing a pod.
+    // ---- Choosing a pod: what no rule forbids, then what serves best.
 
     /** Two random choices by load among the pods the req may go to, the first a near one if there is any. */
     private Pod pick(long now, Rq rq) {
@@ -394,14 +378,12 @@
     }
 
     /**
-     * The trial's pods carry what they will when released, as far as the cap and the rules leave room: that
-     * proves the build under its load, and fewer wait for a good one. In doubt they get what verdicts need.
+     * The trial's pods carry what they will when released, as far as the rules leave room: that proves the
+     * build under its load, and fewer wait for a good one. In doubt they get what verdicts need.
      */
     private double trialPart(long now) {
-        if (rollout.oneWay()) {
-            return onTrial.all().isEmpty() ? 0 : 1;
-        }
-        return Math.min(trialPods(now), state == State.NORMAL ? 1 - KEPT : IN_DOUBT);
+        return rollout.oneWay() && !onTrial.all().isEmpty() ? 1
+                : Math.min(trialPods(now), state == State.NORMAL ? 1 - KEPT : IN_DOUBT);
     }
 
     /** The trial's warm pods in parts of those it is to replace: cold ones would leave them the load. */
@@ -410,22 +392,18 @@
     }
 
     private Pod twoChoices(long now, Rq rq, Fleet of) {
-        Pod a = draw(now, rq, of.near());
-        Pod b = draw(now, rq, of.all());
+        Predicate<Pod> fits = p -> suits(now, rq, p) && allowed(now, rq, p);
+        Pod a = Fleet.draw(of.near(), random, DRAWS, fits);
+        Pod b = Fleet.draw(of.all(), random, DRAWS, fits);
         return a == null || b != null && load(now, b) < load(now, a) ? b : a;
     }
 
-    private Pod draw(long now, Rq rq, List<Pod> from) {
-        return Fleet.draw(from, random, DRAWS, p -> suits(now, rq, p) && allowed(now, rq, p));
-    }
-
     /** Where most pods fail, resting them would jam the few: then they are no worse than the rest. */
     private boolean suits(long now, Rq rq, Pod p) {
         return (panic || fit(now, p)) && (!linksScarce || linked(now, p))
                 && rq.tries.stream().noneMatch(t -> t.pod() == p);
     }
 
-    /** Whether the pod was heard so lately that a connection is likely to stand. */
     private boolean linked(long now, Pod p) {
         return p.open > 0 || now < p.heardNs + set.limits().connectionIdleNs();
     }
@@ -435,14 +413,12 @@
         return far * (p.open + 1) * p.slowness.read(now, 1, 2) / Math.max(0.01, p.is.weight());
     }
 
-    /** What no rule forbids. */
     private boolean allowed(long now, Rq rq, Pod p) {
         return p.ready() && rq.mayGoTo(p.is) && exposureRoom(now, rq, p) && coldRoom(now, p);
     }
 
     private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
         Pod p = t.pod();
-        boolean ok = ending == Ending.OK;
         boolean unanswered = ending == Ending.TIMEOUT || ending == Ending.CANCELLED;
         // What was never answered counts as just late: where most is, a jam would look like ease.
         double part = tookNs / (double) row.is.objectiveNs();
@@ -451,16 +427,15 @@
         if (ending == Ending.CANCELLED) {
             return;
         }
-        boolean unreached = ending == Ending.CONNECT_FAILED;
         if (!t.linked()) {
-            refused.add(now, unreached ? 1 : 0);
+            refused.add(now, ending == Ending.CONNECT_FAILED ? 1 : 0);
         }
-        p.hear(now, unanswered, unreached);
-        if (ok || unanswered) {
+        p.hear(now, unanswered, ending == Ending.CONNECT_FAILED);
+        if (ending == Ending.OK || unanswered) {
             p.slowness.add(now, tookNs / row.meanNs(now));
             row.times.add(now, tookNs);
         }
-        if (ok) {
+        if (ending == Ending.OK) {
             completed.add(now, 1);
             // A pod that fails half of its tries must not be cleared by one lucky answer.
             p.strikes = Math.max(0, p.strikes - 1);
@@ -534,20 +509,18 @@
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
         // What each pod would complete a second from here if all did alike; before any did, what comes in.
         double all = completed.perSecond(now) > 0 ? completed.perSecond(now) : taken.perSecond(now);
-        double rate = COLD_MARGIN * can * all * p.is.weight() / whole.weight();
+        double rate = can * all * p.is.weight() / whole.weight();
         double most = Math.max(1, rate * set.rules().fallNs() / SECOND);
         return p.saveCold(now, rate, most, random) >= 1;
     }
 
-    // ---- Exposure.
-
     private boolean exposureRoom(long now, Rq rq, Pod p) {
         int build = p.is.build();
         if (news.stands() && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
             return false;
         }
         boolean shielded = news.stageOf(build) < rollout.shieldedStages()
-                && rq.row.is.repeat() != Repeat.RETRIABLE;
+                && rq.row.is.repeat() != Settings.Repeat.RETRIABLE;
         return !news.onTrial(build) || news.capOf(build, rollout) > 0 && !shielded
                 && (!rollout.oneWay() || oneWayKey(now, rq, build)) && exposure.enough(build, rq.row.at);
     }
@@ -608,17 +581,15 @@
     }
 
     /**
-     * The trial's share, less what the earlier build's shifted by: a burst or lost zone is not its doing.
-     * But where pods have no more to do than before and the earlier build is late beyond what a minor part of
-     * its pods can do by being hung, slow or pausing, the build slows all.
+     * The trial's share, less what the earlier build's shifted by: a burst or lost zone is not its doing. But
+     * where that is late beyond what a minor part of its pods, hung, slow or pausing, can do, it slows all.
      */
     private double sample(long now, int place, boolean ofLate, Detector d) {
         double share = share(now, trial, place, ofLate);
-        // What it showed last stands on after the release takes it away.
         boolean reference = earlier.ever(place, ofLate) >= OUTCOME_FLOOR;
-        double shift = reference ? share(now, earlier, place, ofLate) - d.is.mean : 0;
+        double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
         double apart = Math.max(0, Math.min(1, share - Math.max(0, shift)));
-        if (!ofLate || place < rows.size() || !reference || now < unsteadyUntilNs) {
+        if (!ofLate || place < rows.size() || !reference) {
             return apart;
         }
         return Math.max(apart, Math.max(middleLate(now), (earlier.late(now, place) - MINOR) / (1 - MINOR)));
@@ -631,11 +602,6 @@
         return late.length == 0 ? 0 : late[(late.length - 1) / 2];
     }
 
-    /** What this sidecar sends a second to each fit pod that is not on trial. */
-    private double loadNow(long now) {
-        return sent.perSecond(now) / Math.max(1, notOnTrial.count(p -> fit(now, p)));
-    }
-
     public void flagged(long now, String podId, String route) {
         Pod p = pods.get(podId);
         Row row = rows.get(route);
@@ -675,7 +641,7 @@
             int place = i / 2;
             boolean ofLate = i % 2 == 1;
             if (learns && steady.seen(now, place, ofLate) >= REFERENCE_FLOOR) {
-                d.is.learn(share(now, steady, place, ofLate), LONG_WEIGHT);
+                d.learn(share(now, steady, place, ofLate), LONG_WEIGHT);
             }
             double n = trial.seen(now, place, ofLate);
             double m = earlier.seen(now, place, ofLate);
@@ -688,8 +654,8 @@
             }
             if (d.state.ordinal() > worst.ordinal()) {
                 worst = d.state;
-                String what = ofLate ? "late" : "failed or flagged";
-                why = String.format(", %s %.2f against %.2f", what, d.is.recent, d.is.mean);
+                why = (ofLate ? ", late" : ", failed or flagged")
+                        + String.format(" %.2f against %.2f", d.recent, d.mean);
             }
         }
         if (worst != state) {
@@ -709,13 +675,11 @@
             state = State.NORMAL;
             for (Detector d : detectors) {
                 d.state = State.NORMAL;
-                d.is.recent = d.is.mean;
+                d.recent = d.mean;
             }
         }
         if (other || news.stage() != n.stage() || news.phase() != n.phase()) {
-            if (told) {
-                host.log(n.name() + " " + n.phase());
-            }
+            host.log(n.name() + " " + n.phase());
             ballot.clear();
             everBefore = trial.ever(rows.size(), true);
         }
@@ -729,18 +693,14 @@
 
     /** A vote with no good answer may count: it is cast again, after a pause that differs by sidecar. */
     public void voteAnswered(long now, boolean counts) {
-        if (counts) {
-            ballot.counted(rollout.voteStandsNs());
-        } else {
-            ballot.failed(now + SECOND / 2 + random.nextLong(SECOND));
-        }
+        ballot.answered(counts, rollout.voteStandsNs(), now + SECOND / 2 + random.nextLong(SECOND));
     }
 
     private Verdict verdict(long now) {
         if (state == State.ALARM && (news.onTrial() || news.released())) {
             return Verdict.BACK;
         }
-        if (!news.onTrial() || rollout.control() == Control.CLOCKED) {
+        if (!news.onTrial() || rollout.control() == Settings.Control.CLOCKED) {
             return news.onTrial() && state == State.SUSPECT ? Verdict.HOLD : Verdict.NONE;
         }
         long age = now - stageSinceNs;
@@ -764,11 +724,9 @@
 
     /** The voters are lowest under a hash of build and stage; each later one stands in after longer. */
     private long standInAfter(Verdict v) {
-        int voters = switch (rollout.control()) {
-            case SINGLE -> VOTERS;
-            case MAJORITY -> v == Verdict.ON ? rollout.onVotes() : rollout.backVotes();
-            case CLOCKED -> v == Verdict.HOLD ? rollout.holdVotes() : rollout.backVotes();
-        };
+        int needed = v == Verdict.ON ? rollout.onVotes() : v == Verdict.HOLD ? rollout.holdVotes()
+                : rollout.backVotes();
+        int voters = rollout.control() == Settings.Control.SINGLE ? VOTERS : needed;
         int before = news.ranked(set.rank(), set.sidecars());
         return Math.max(0, before - voters + 1) * (v == Verdict.BACK ? STAND_IN_BACK : STAND_IN_ON);
     }
@@ -777,12 +735,6 @@
         switch (token) {
             case "sample" -> {
                 host.timer(now + SECOND, token);
-                if (loadNow(now) > MORE_LOAD * usualLoad.read(now, 0, 1e-9)) {
-                    unsteadyUntilNs = now + SAMPLE_HALF_LIFE;
-                }
-                if (!news.onTrial()) {
-                    usualLoad.add(now, loadNow(now));
-                }
                 judge(now);
                 vote(now);
             }
