--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -35,7 +35,6 @@
     /** A try is late above this quantile, which lies at so many mean times if these fall off evenly. */
     private static final double LATE_QUANTILE = 0.8;
     private static final double LATE_MEANS = -Math.log(1 - LATE_QUANTILE);
-    /** Outcomes lately that make the earlier build's share a sample. */
     private static final double REFERENCE_FLOOR = 5;
     /** The part of the pods that may be in trouble of its own: more hides builds that slow all. */
     private static final double MINOR = 0.25;
@@ -58,6 +57,8 @@
     private static final int SICK_STRIKES = 3;
     private static final int MOST_STRIKES = 6;
     private static final int DRAWS = 16;
+    /** A req errored by so many pods will be by others: its tries would crowd out what they can do. */
+    private static final int OWN_FAULT = 2;
     /** Share of new connections refused above which only pods that were heard lately are used. */
     private static final double SCARCE = 0.25;
     private static final double PANIC_PART = 0.5;
@@ -335,7 +336,8 @@
     }
 
     private boolean mayGoAgain(long now, Rq rq) {
-        return now < lastChance(now, rq) && rq.tries.size() < set.limits().maxTries() && rq.mayRepeat();
+        return now < lastChance(now, rq) && rq.tries.size() < set.limits().maxTries()
+                && rq.errors < OWN_FAULT && rq.mayRepeat();
     }
 
     /** The answer goes out at once: a shed reply where a repeat is harmless, so the client may return. */
@@ -367,8 +369,6 @@
         }
     }
 
-    // ---- Choosing a pod: what no rule forbids, then what serves best.
-
     /** Two random choices by load among the pods the req may go to, the first a near one if there is any. */
     private Pod pick(long now, Rq rq) {
         double part = trialPart(now);
@@ -669,7 +669,6 @@
     public void news(long now, News n) {
         boolean other = news.build() != n.build();
         if (other) {
-            // What was released is the earlier build from now on; what was taken off never was.
             earlier = news.released() ? trial : earlier;
             trial = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
             state = State.NORMAL;
--- a/src/main/java/mulleinlever/Rq.java
+++ b/src/main/java/mulleinlever/Rq.java
@@ -14,6 +14,7 @@
     /** Numbers of the tries that are out, and of those proven not to have run. */
     final BitSet out = new BitSet();
     private final BitSet neverRan = new BitSet();
+    int errors;
     boolean answered;
     boolean streaming;
     boolean calledBack;
@@ -33,6 +34,7 @@
     void end(int no, Ending ending) {
         out.clear(no);
         neverRan.set(no, ending.neverRan());
+        errors += ending == Ending.ERROR ? 1 : 0;
     }
 
     /** The first try that may have run, or may yet, if any. */
--- a/src/test/java/mulleinlever/Bench.java
+++ b/src/test/java/mulleinlever/Bench.java
@@ -54,8 +54,8 @@
 
     static Bench plain(int sidecars, boolean copies, boolean oneWay, long seed) {
         var get = route("get", Settings.Repeat.RETRIABLE, Settings.Scope.ALL);
-        return start(settings(Settings.Control.SINGLE, false, 0, oneWay, false, List.of(get), sidecars, copies),
-                seed);
+        var control = Settings.Control.SINGLE;
+        return start(settings(control, false, 0, oneWay, false, List.of(get), sidecars, copies), seed);
     }
 
     static PodEntry pod(int i, int build, long startedNs) {
