--- a/src/test/java/mulleinlever/Bench.java
+++ b/src/test/java/mulleinlever/Bench.java
@@ -6,10 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/**
- * The tests' one helper: settings by route, and a host that keeps what a policy asks for and runs its
- * timers.
- */
+/** The tests' one helper: settings by route, and a host that keeps what is asked for and runs timers. */
 final class Bench implements Host {
     static final long MS = 1_000_000L;
     static final long S = 1_000 * MS;
@@ -83,7 +80,6 @@
         policy.tryEnded(now, id, tryNo, ending, tookNs, ending == Ending.OK);
     }
 
-    /** Lets time pass, with every timer on its time. */
     void pass(long ns) {
         long until = now + ns;
         while (!timers.isEmpty() && timers.firstKey() <= until) {
--- a/src/test/java/mulleinlever/FailuresTest.java
+++ b/src/test/java/mulleinlever/FailuresTest.java
@@ -6,8 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** One small test for each failure that was found. */
@@ -17,8 +17,7 @@
         long tookMs(PodEntry pod, int i);
     }
 
-    private static int serve(Bench b, int seconds, Answers answers, List<PodEntry> pods) {
-        int from = b.sent.size();
+    private static void serve(Bench b, int seconds, Answers answers, List<PodEntry> pods) {
         for (int i = 0; i < seconds * 50; i++) {
             String id = b.now + "";
             b.req(id, "get", 2 * S);
@@ -29,14 +28,11 @@
             }
             b.pass(20 * MS);
         }
-        return b.sent.size() - from;
     }
 
     private static List<PodEntry> fleet(Bench b, int old, int young) {
-        List<PodEntry> all = new ArrayList<>();
-        for (int i = 0; i < old + young; i++) {
-            all.add(Bench.pod(i, i < old ? 1 : 2, 0));
-        }
+        List<PodEntry> all = IntStream.range(0, old + young)
+                .mapToObj(i -> Bench.pod(i, i < old ? 1 : 2, 0)).toList();
         b.policy.listWhole(b.now, all);
         return all;
     }
@@ -51,7 +47,6 @@
         return b.votes.get(b.votes.size() - 1).verdict();
     }
 
-    /** From 60 to 140 ms, in a fixed order. */
     private static long usual(int i) {
         return 60 + i * 37 % 81;
     }
@@ -142,6 +137,16 @@
         assertTrue(toOne < late.size() / 3, toOne + " of " + late.size());
     }
 
+    @Test
+    void reqThatTwoPodsErroredIsGivenUp() {
+        Bench b = Bench.plain().pods(6, 1).news(1, 2, News.Phase.RELEASED, 1);
+        b.req("poison", "get", 2 * S);
+        b.end("poison", 0, Ending.ERROR, 5 * MS);
+        b.end("poison", 1, Ending.ERROR, 5 * MS);
+        assertEquals("shed", b.answers.get("poison"));
+        assertEquals(2, b.sent.size());
+    }
+
     @Test
     void reqInLineIsAnsweredBeforeItsClientLeaves() {
         Bench b = Bench.plain().news(1, 2, News.Phase.RELEASED, 1);
@@ -233,7 +238,7 @@
         b.news(2, 2, News.Phase.ON_TRIAL, 1);
         int from = b.sent.size();
         serve(b, 2, (p, i) -> usual(i), pods);
-        var calm = b.sent.subList(from, b.sent.size());
+        List<Bench.Sent> calm = b.sent.subList(from, b.sent.size());
         assertTrue(calm.stream().filter(s -> Bench.number(s.pod()) >= 8).count() > 0.8 * calm.size());
         serve(b, 3, (p, i) -> p.build() == 2 ? 4 * usual(i) : usual(i), pods);
         int then = b.sent.size();
--- a/src/test/java/mulleinlever/RulesTest.java
+++ b/src/test/java/mulleinlever/RulesTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import mulleinlever.Settings.Control;
 import mulleinlever.Settings.Repeat;
 import mulleinlever.Settings.Scope;
@@ -54,10 +55,7 @@
                         scope), Bench.route("n", Repeat.NON_RETRIABLE, Scope.ALL)),
                 seed % 2 == 0 ? 3 : 200, seed % 3 == 0);
         bench = Bench.start(set, seed);
-        List<PodEntry> first = new ArrayList<>();
-        for (int i = 0; i < 8; i++) {
-            first.add(Bench.pod(i, 1, 0));
-        }
+        List<PodEntry> first = IntStream.range(0, 8).mapToObj(i -> Bench.pod(i, 1, 0)).toList();
         bench.policy.listWhole(bench.now, first);
         first.forEach(this::entry);
         tell(news);
@@ -109,9 +107,8 @@
             check();
         }
         if (random.nextInt(300) == 0 && !outs.isEmpty()) {
-            String id = outs.get(0).rq;
-            done.put(id, "gone");
-            bench.policy.clientGone(bench.now, id);
+            done.put(outs.get(0).rq, "gone");
+            bench.policy.clientGone(bench.now, outs.get(0).rq);
         }
         if (random.nextInt(40) == 0) {
             pods(random);
@@ -177,7 +174,6 @@
         bench.policy.news(bench.now, n);
     }
 
-    /** Looks at all that was sent or answered since the last look. */
     private void check() {
         bench.answers.forEach((id, what) -> {
             if (!done.containsKey(id)) {
@@ -185,8 +181,8 @@
                 Repeat repeat = repeatOf(id);
                 List<Ending> ended = endings.getOrDefault(id, List.of());
                 boolean mayHaveRun = ended.stream().anyMatch(e -> !e.neverRan());
-                assertTrue(bench.now <= takenAt.get(id) + taken.get(id).expiresInNs() + 20 * MS,
-                        "answered late");
+                long due = takenAt.get(id) + taken.get(id).expiresInNs();
+                assertTrue(bench.now <= due + 20 * MS, "answered late");
                 boolean harmless = repeat == Repeat.RETRIABLE
                         || repeat == Repeat.DEDUPED && set.routes().get(1).scope() == Scope.ALL;
                 assertTrue(!what.equals("shed") || !mayHaveRun || harmless, "shed may have run");
@@ -271,10 +267,10 @@
             if (start < Math.max(since, s.atNs() - 3 * S) || from.build() != pod.build()) {
                 continue;
             }
-            long n = exposed.stream().filter(e -> e.atNs() >= start && e.build() == pod.build()
-                    && counts(e.route(), rq.route())).count();
-            long of = taken.values().stream().filter(q -> takenAt.get(q.id()) >= start
-                    && counts(q.route(), rq.route())).count();
+            long n = exposed.stream().filter(e -> e.atNs() >= start && e.build() == pod.build())
+                    .filter(e -> counts(e.route(), rq.route())).count();
+            long of = taken.values().stream().filter(q -> takenAt.get(q.id()) >= start)
+                    .filter(q -> counts(q.route(), rq.route())).count();
             assertTrue(n <= set.rollout().uncounted() + cap * of + 1e-9, "exposed beyond the cap");
         }
     }
