--- a/src/main/java/mulleinlever/Fleet.java
+++ b/src/main/java/mulleinlever/Fleet.java
@@ -4,8 +4,12 @@
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 
-/** Pods that a req may be sent among, and those of them that are near. */
-record Fleet(List<Pod> all, List<Pod> near) {
+/** Pods that a req may be sent among, those of them that are near, and the weight of all. */
+record Fleet(List<Pod> all, List<Pod> near, double weight) {
+    private Fleet(List<Pod> all, List<Pod> near) {
+        this(all, near, all.stream().mapToDouble(p -> p.is.weight()).sum());
+    }
+
     Fleet(List<Pod> all, String zone) {
         this(all, all.stream().filter(p -> p.is.zone().equals(zone)).toList());
     }
@@ -29,8 +33,4 @@
     long count(Predicate<Pod> some) {
         return all.stream().filter(some).count();
     }
-
-    double weight() {
-        return all.stream().mapToDouble(p -> p.is.weight()).sum();
-    }
 }
