--- a/src/main/java/mulleinlever/Host.java
+++ b/src/main/java/mulleinlever/Host.java
@@ -14,16 +14,11 @@
     /** Stops waiting for one upstream try. */
     void cancel(String rq, int tryNo);
 
-    void probe(String pod);
-
     void vote(int build, int stage, Verdict verdict);
 
     /** Asks for changes to the list of pods from now on. */
     void watchList();
 
-    /** Asks for the whole list once. */
-    void fetchList();
-
     /** Asks for {@link Policy#timer} at or after a time; timers can't be taken back. */
     void timer(long atNs, String token);
 
--- a/src/main/java/mulleinlever/drill/Drill.java
+++ b/src/main/java/mulleinlever/drill/Drill.java
@@ -101,7 +101,7 @@
         try {
             if (l.message.equals("POWER_ON")) {
                 WireHost host = new WireHost(this, about);
-                running.put(about, new Policy(SettingsLine.read(l), l.whole("prng"), now, host));
+                running.put(about, new Policy(SettingsFields.read(l), l.whole("prng"), now, host));
                 return;
             }
             Policy policy = running.get(about);
--- a/src/main/java/mulleinlever/drill/SettingsLine.java
+++ b/src/main/java/mulleinlever/drill/SettingsFields.java
@@ -14,11 +14,11 @@
 import mulleinlever.Settings.Scope;
 import mulleinlever.Settings.Tenant;
 
-/** Reads the settings that stand on a start line. */
-final class SettingsLine {
-    private SettingsLine() { }
+/** Reads the settings of a sidecar: from a start line of the wire, or from a configuration. */
+public final class SettingsFields {
+    private SettingsFields() { }
 
-    static Settings read(Line l) {
+    public static Settings read(Fields l) {
         List<Route> routes = new ArrayList<>();
         for (int i = 0; i < l.count("grades.count"); i++) {
             routes.add(route(l, "grades." + i + "."));
@@ -53,12 +53,11 @@
         return new Settings(l.count("rank"), l.count("balancers"), l.text("zone", ""),
                 List.of(zones.split(",")), l.text("discovery").equals("subscribe"),
                 l.whole("stepNs", 1_000_000), l.number("overShareWorth", 1), routes, tenants, rollout(l),
-                rules,
-                limits, prices, source,
+                rules, limits, prices, source,
                 !l.text("weights", "off").equals("off"));
     }
 
-    private static Route route(Line l, String at) {
+    private static Route route(Fields l, String at) {
         Repeat repeat = switch (l.text(at + "repeat")) {
             case "safe" -> Repeat.RETRIABLE;
             case "keyed" -> Repeat.DEDUPED;
@@ -72,7 +71,7 @@
                 l.number(at + "worth", 1));
     }
 
-    private static Rollout rollout(Line l) {
+    private static Rollout rollout(Fields l) {
         String at = "familyInfo.";
         return new Rollout(l.word(at + "control", Control.class),
                 l.text(at + "replaceMode", "side_by_side").equals("rolling"), l.count(at + "ayesNeeded"),
@@ -87,7 +86,7 @@
                 l.number(at + "staleBuildPrice", 0), l.number(at + "damagePrice", 0));
     }
 
-    private static List<Double> numbers(Line l, String name) {
+    private static List<Double> numbers(Fields l, String name) {
         List<Double> all = new ArrayList<>();
         for (String v : l.text(name).split(",")) {
             all.add(l.parseNumber(name, v));
--- a/src/main/java/mulleinlever/drill/WireHost.java
+++ b/src/main/java/mulleinlever/drill/WireHost.java
@@ -34,11 +34,6 @@
         say().append("REVOKE\tticket=").append(rq).append("\tsendNo=").append(tryNo).append('\n');
     }
 
-    @Override
-    public void probe(String pod) {
-        say().append("POLL\tpod=").append(pod).append('\n');
-    }
-
     @Override
     public void vote(int build, int stage, Verdict verdict) {
         say().append("SAY_SO\tbuildNo=").append(build).append("\tstep=").append(stage).append("\thow=")
@@ -50,11 +45,6 @@
         say().append("KEEP_INFORMED\ton=1\n");
     }
 
-    @Override
-    public void fetchList() {
-        say().append("GET_LIST\n");
-    }
-
     @Override
     public void timer(long atNs, String token) {
         say().append("NOTIFY_ME\tatNs=").append(atNs).append("\tnonce=").append(token).append('\n');
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Admit.java
@@ -0,0 +1,53 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import mulleinlever.Req;
+import mulleinlever.Settings;
+
+/** Second stage: whether a command is a req, and what it asks for. */
+final class Admit {
+    private final Map<String, Settings.Route> routes;
+    private final Book book;
+    private final Route route;
+
+    Admit(Settings settings, Book book, Route route) {
+        this.routes = settings.routes().stream()
+                .collect(Collectors.toMap(Settings.Route::name, Function.identity()));
+        this.book = book;
+        this.route = route;
+    }
+
+    /** Takes over the text. What no pod would understand is turned down here and never sent on. */
+    void query(TakeIn client, ByteBuf text) {
+        if (blank(text)) {
+            text.release();
+            client.command(Replies.empty());
+            return;
+        }
+        Statement s = Statement.read(text);
+        Settings.Route row = s == null ? null : routes.get(s.route);
+        Held held = row == null ? null : new Held(client, s);
+        if (held == null || !book.take(held)) {
+            text.release();
+            String why = s == null ? "no req: the comment with id, c and d is missing"
+                    : row == null ? "no such route" : "this id is in hand";
+            client.command(Replies.error(Replies.UNKNOWN, why, 0, true));
+            return;
+        }
+        client.inLine(held);
+        long waitsNs = s.waitsMs < 0 ? row.timeoutNs() : s.waitsMs * 1_000_000L;
+        route.req(new Req(s.id, s.route, s.repeat, s.write(), waitsNs, 0, s.key(), s.tenant));
+    }
+
+    private static boolean blank(ByteBuf text) {
+        for (int i = text.readerIndex(); i < text.writerIndex() - 1; i++) {
+            if (text.getByte(i) > ' ' && text.getByte(i) != ';') {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Chunked.java
@@ -0,0 +1,87 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+
+/** The lines of one HTTP/1.1 answer that is sent in chunks. */
+abstract class Chunked extends Lines {
+    private enum Part { STATUS, HEADERS, SIZE, DATA, DATA_END, TRAILER }
+
+    private static final int MOST_HEAD = 8192;
+
+    private final StringBuilder head = new StringBuilder();
+    private Part part = Part.STATUS;
+    private boolean chunked;
+    private int left;
+
+    Chunked(int longest) {
+        super(longest);
+    }
+
+    /** The last chunk has come. */
+    abstract void complete();
+
+    @Override
+    final void bytes(ByteBuf in) {
+        while (in.isReadable()) {
+            if (part == Part.DATA) {
+                int n = Math.min(left, in.readableBytes());
+                for (int i = 0; i < n; i++) {
+                    letter(in.readByte());
+                }
+                left -= n;
+                part = left == 0 ? Part.DATA_END : part;
+            } else {
+                headLetter((char) in.readUnsignedByte());
+            }
+        }
+    }
+
+    private void headLetter(char c) {
+        if (c != '\n') {
+            if (head.length() == MOST_HEAD) {
+                throw new Fault("a head longer than " + MOST_HEAD);
+            }
+            head.append(c);
+            return;
+        }
+        String text = head.toString().trim();
+        head.setLength(0);
+        switch (part) {
+            case STATUS -> {
+                if (!text.matches("HTTP/1\\.[01] 200( .*)?")) {
+                    throw new Fault("discovery answers " + text);
+                }
+                part = Part.HEADERS;
+            }
+            case HEADERS -> {
+                chunked |= text.matches("(?i)transfer-encoding:\\s*chunked");
+                if (text.isEmpty() && !chunked) {
+                    throw new Fault("discovery answers in one piece");
+                }
+                part = text.isEmpty() ? Part.SIZE : part;
+            }
+            case SIZE -> {
+                left = size(text);
+                part = left == 0 ? Part.TRAILER : Part.DATA;
+            }
+            case DATA_END -> part = Part.SIZE;
+            default -> {
+                if (text.isEmpty()) {
+                    complete();
+                }
+            }
+        }
+    }
+
+    private static int size(String text) {
+        try {
+            int n = Integer.parseInt(text.replaceAll("\\s*;.*", ""), 16);
+            if (n >= 0) {
+                return n;
+            }
+        } catch (NumberFormatException e) {
+            throw new Fault("a chunk of size " + text);
+        }
+        throw new Fault("a chunk of size " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Clients.java
@@ -0,0 +1,55 @@
+package mulleinlever.sidecar;
+
+import io.netty.channel.Channel;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** The clients' connections: how many there may be, and which have been silent for too long. */
+final class Clients {
+    private final int most;
+    private final Life life;
+    private final Set<TakeIn> all = new LinkedHashSet<>();
+    private Channel listener;
+
+    Clients(int most, Life life) {
+        this.most = most;
+        this.life = life;
+    }
+
+    void listensAt(Channel channel) {
+        this.listener = channel;
+    }
+
+    int count() {
+        return all.size();
+    }
+
+    /** At the most, no more are accepted: they wait in the machine's queue rather than use up descriptors. */
+    void opened(TakeIn client) {
+        all.add(client);
+        if (all.size() >= most) {
+            listener.config().setAutoRead(false);
+        }
+    }
+
+    void closed(TakeIn client) {
+        all.remove(client);
+        if (all.size() < most && !listener.config().isAutoRead()) {
+            listener.config().setAutoRead(true);
+        }
+    }
+
+    void sweep(long now) {
+        new ArrayList<>(all).forEach(c -> c.closeIfStuck(now));
+    }
+
+    void finish() {
+        listener.close();
+        new ArrayList<>(all).forEach(TakeIn::closeIfIdle);
+    }
+
+    boolean finishing() {
+        return life.is(Life.Phase.FINISHING);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Config.java
@@ -0,0 +1,72 @@
+package mulleinlever.sidecar;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import mulleinlever.News;
+import mulleinlever.Settings;
+import mulleinlever.drill.SettingsFields;
+
+/**
+ * What one sidecar is told at its start: read, checked and given defaults here and nowhere else. A fault names
+ * the key. The environment's values count where the file lacks one.
+ */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress platform,
+        long seed, int sockets, PodList known, News news, Settings settings) {
+    /** Taken where no limit is told: what a process may usually open. */
+    private static final int SOCKETS = 1024;
+    private static final int FEWEST_SOCKETS = 64;
+
+    static Config load(Map<String, String> env) {
+        String file = env.get("LB_CONFIG");
+        if (file == null) {
+            throw new Fault("LB_CONFIG needs the path of the configuration");
+        }
+        try {
+            return read(Files.readString(Path.of(file)), env);
+        } catch (IOException e) {
+            throw new Fault("LB_CONFIG names a file that can't be read: " + e);
+        }
+    }
+
+    static Config read(String text, Map<String, String> env) {
+        if (!(Json.read(text) instanceof Map<?, ?> root)) {
+            throw new Fault("the configuration needs to be one object");
+        }
+        JsonFields all = new JsonFields("configuration: ", root);
+        long sockets = all.whole("limits.sockets", SOCKETS);
+        if (sockets < FEWEST_SOCKETS) {
+            throw all.bad("needs at least " + FEWEST_SOCKETS + " in limits.sockets");
+        }
+        return new Config(all.text("name", env.getOrDefault("LB_NAME", "sidecar")),
+                address(all, "listen", env.get("LB_LISTEN")),
+                address(all, "discovery", env.get("LB_DISCOVERY")),
+                address(all, "release_api.address", null), seed(all), (int) Math.min(1 << 20, sockets),
+                PodList.read(all.inner("known")), news(all.inner("release_api.news")),
+                SettingsFields.read(all.inner("settings")));
+    }
+
+    private static News news(JsonFields from) {
+        return new News(from.count("build"), from.count("stage"), Platform.phase(from.text("phase"), from),
+                from.number("cap", 0), Math.max(0, from.whole("age_ms", 0)) * 1_000_000L);
+    }
+
+    private static long seed(JsonFields all) {
+        try {
+            return Long.parseUnsignedLong(all.text("seed"), 16);
+        } catch (NumberFormatException e) {
+            throw all.bad("needs up to 16 hex digits in seed");
+        }
+    }
+
+    private static InetSocketAddress address(JsonFields all, String key, String absent) {
+        String v = absent == null ? all.text(key) : all.text(key, absent);
+        InetSocketAddress a = Address.of(v);
+        if (a == null) {
+            throw all.bad("needs an IP address and port in " + key + ", found " + v);
+        }
+        return a;
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Frames.java
@@ -0,0 +1,93 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+
+/**
+ * Cuts a peer's bytes, however they were split, into PostgreSQL's messages. A message is read in place; a part
+ * of it that must outlive the next read is taken with {@link #keep}.
+ */
+final class Frames {
+    /** A value of 64 KiB written as hex takes twice that; no honest message is longer than this. */
+    static final int LONGEST = 192 * 1024;
+    private static final int LENGTH = 4;
+
+    private final ByteBufAllocator alloc;
+    private ByteBuf bytes;
+    private int begun;
+    /** The message at hand: its type, where its body begins and how long that is. */
+    char type;
+    int at;
+    int length;
+
+    Frames(ByteBufAllocator alloc) {
+        this.alloc = alloc;
+    }
+
+    /** Takes over the buffer. */
+    void add(ByteBuf more) {
+        if (bytes == null || !bytes.isReadable()) {
+            close();
+            bytes = more;
+        } else if (bytes.refCnt() == 1 && bytes.writableBytes() >= more.readableBytes()) {
+            bytes.writeBytes(more);
+            more.release();
+        } else {
+            // As long as the message that has begun: else a long one would be copied at each read.
+            int need = Math.max(bytes.readableBytes() + more.readableBytes(), begun);
+            ByteBuf wider = alloc.buffer(need);
+            wider.writeBytes(bytes).writeBytes(more);
+            more.release();
+            close();
+            bytes = wider;
+        }
+    }
+
+    /** Goes to the next whole message, if there is one; a startup message has no type. */
+    boolean next(boolean typed) {
+        int head = typed ? 1 : 0;
+        if (bytes == null || bytes.readableBytes() < head + LENGTH) {
+            return false;
+        }
+        int from = bytes.readerIndex();
+        int n = bytes.getInt(from + head);
+        if (n < LENGTH || n > LONGEST) {
+            throw new Fault("a message of " + n + " bytes");
+        }
+        begun = head + n;
+        if (bytes.readableBytes() < begun) {
+            return false;
+        }
+        type = typed ? (char) bytes.getUnsignedByte(from) : 0;
+        at = from + head + LENGTH;
+        length = n - LENGTH;
+        bytes.skipBytes(begun);
+        begun = 0;
+        return true;
+    }
+
+    boolean partial() {
+        return bytes != null && bytes.isReadable();
+    }
+
+    ByteBuf bytes() {
+        return bytes;
+    }
+
+    /** The body at hand, kept until released. */
+    ByteBuf keep() {
+        return bytes.retainedSlice(at, length);
+    }
+
+    /** The message at hand with its head, kept until released. */
+    ByteBuf keepWhole() {
+        return bytes.retainedSlice(at - LENGTH - 1, length + LENGTH + 1);
+    }
+
+    void close() {
+        if (bytes != null) {
+            bytes.release();
+            bytes = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Held.java
@@ -0,0 +1,37 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A req taken and not yet done with, or another command that waits for its turn to be answered. */
+final class Held {
+    final TakeIn client;
+    /** Null for a command that is no req. */
+    final Statement statement;
+    final List<Upstream> tries = new ArrayList<>(2);
+    /** The answer, once there is one, waiting for those ahead of it on its connection. */
+    ByteBuf answer;
+    boolean answered;
+    private boolean released;
+
+    Held(TakeIn client, Statement statement) {
+        this.client = client;
+        this.statement = statement;
+    }
+
+    boolean triesOut() {
+        return tries.stream().anyMatch(t -> !t.ended);
+    }
+
+    int bytes() {
+        return statement == null ? 0 : statement.text.readableBytes();
+    }
+
+    void release() {
+        if (statement != null && !released) {
+            statement.text.release();
+        }
+        released = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/JsonFields.java
@@ -0,0 +1,67 @@
+package mulleinlever.sidecar;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import mulleinlever.drill.Fields;
+
+/** The fields of a JSON object, those of objects within it under their path; a fault names the whole path. */
+final class JsonFields extends Fields {
+    private final String where;
+    private final Object root;
+
+    JsonFields(String where, Object root) {
+        this.where = where;
+        this.root = root;
+    }
+
+    /** The object at a path within this one. */
+    JsonFields inner(String path) {
+        if (!(walk(path) instanceof Map)) {
+            throw bad("needs an object in " + path);
+        }
+        return new JsonFields(where + path + ".", walk(path));
+    }
+
+    /** The objects of the list at a path. */
+    List<JsonFields> all(String path) {
+        if (!(walk(path) instanceof List<?> list)) {
+            throw bad("needs a list in " + path);
+        }
+        int[] i = {0};
+        return list.stream().map(o -> new JsonFields(where + path + "." + i[0]++ + ".", o)).toList();
+    }
+
+    @Override
+    protected String find(String name) {
+        Object v = walk(name);
+        if (v == null && name.endsWith(".count")) {
+            v = walk(name.substring(0, name.length() - ".count".length()));
+            return v instanceof List<?> list ? String.valueOf(list.size()) : null;
+        }
+        if (v instanceof List<?> list) {
+            return list.stream().map(String::valueOf).collect(Collectors.joining(","));
+        }
+        return v == null || v instanceof Json.Bare b && b.text().equals("null") ? null : v.toString();
+    }
+
+    private Object walk(String path) {
+        Object v = root;
+        for (String step : path.split("\\.")) {
+            if (v instanceof Map<?, ?> map) {
+                v = map.get(step);
+            } else if (v instanceof List<?> list && step.matches("\\d{1,6}")) {
+                int i = Integer.parseInt(step);
+                v = i < list.size() ? list.get(i) : null;
+            } else {
+                return null;
+            }
+        }
+        return v;
+    }
+
+    @Override
+    public Fault bad(String expected) {
+        return new Fault(where + " " + expected);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Life.java
@@ -0,0 +1,40 @@
+package mulleinlever.sidecar;
+
+/** The phases of the process, from start to exit. */
+final class Life {
+    enum Phase {
+        /** Reads its configuration; nothing listens yet. */
+        STARTING,
+        SERVING,
+        /** Told to stop, it still takes all that comes: those who send have not heard of it yet. */
+        LEAVING,
+        /** Takes nothing new, answers all it has taken, closes idle connections. */
+        FINISHING,
+        ENDED
+    }
+
+    private final Log log;
+    private volatile Phase phase = Phase.STARTING;
+
+    Life(Log log) {
+        this.log = log;
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    boolean is(Phase other) {
+        return phase == other;
+    }
+
+    /** Phases only go forward; whether this one is new. */
+    boolean enter(Phase next) {
+        if (next.ordinal() <= phase.ordinal()) {
+            return false;
+        }
+        phase = next;
+        log.say("life", next.name().toLowerCase(java.util.Locale.ROOT));
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Log.java
@@ -0,0 +1,38 @@
+package mulleinlever.sidecar;
+
+import java.io.PrintStream;
+import java.util.Locale;
+
+/** One line a thing worth telling; no more than so many a second, since a flood would stall the event loop. */
+final class Log {
+    private static final int MOST_A_SECOND = 20;
+
+    private final PrintStream out;
+    private final Clock clock;
+    private final long startNs;
+    private long second;
+    private int said;
+    private int leftOut;
+
+    Log(PrintStream out, Clock clock) {
+        this.out = out;
+        this.clock = clock;
+        this.startNs = clock.now();
+    }
+
+    synchronized void say(String about, String text) {
+        long sinceMs = (clock.now() - startNs) / 1_000_000;
+        if (sinceMs / 1000 != second) {
+            second = sinceMs / 1000;
+            said = 0;
+        }
+        if (++said > MOST_A_SECOND) {
+            leftOut++;
+            return;
+        }
+        String before = leftOut > 0 ? "(" + leftOut + " lines left out) " : "";
+        leftOut = 0;
+        out.println(String.format(Locale.ROOT, "%8.3f %s: %s", sinceMs / 1e3, about,
+                before + text.replaceAll("[\\r\\n\\t]+", " ")));
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Net.java
@@ -0,0 +1,80 @@
+package mulleinlever.sidecar;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** The one event loop, on which everything happens, and how connections are made on it. */
+final class Net {
+    private static final int BACKLOG = 1024;
+    private static final int PAGE = 8192;
+    /** Chunks of 256 KiB: a process this small would waste most of the usual 4 MiB. */
+    private static final int CHUNK_ORDER = 5;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ByteBufAllocator alloc = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER);
+    final EventLoop loop = group.next();
+
+    /** Not within the call that asks for it: the module is not to be called while it decides. */
+    void soon(Runnable what) {
+        loop.execute(what);
+    }
+
+    Future<?> after(long ns, Runnable what) {
+        return loop.schedule(what, Math.max(0, ns), TimeUnit.NANOSECONDS);
+    }
+
+    void every(long ns, Runnable what) {
+        loop.scheduleAtFixedRate(what, ns, ns, TimeUnit.NANOSECONDS);
+    }
+
+    ChannelFuture connect(InetSocketAddress to, long withinNs, ChannelHandler handler) {
+        return new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(handler)
+                .option(ChannelOption.ALLOCATOR, alloc)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, 32_768))
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, withinNs / 1_000_000))
+                .connect(to);
+    }
+
+    ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handlers) {
+        return new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOCATOR, alloc)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, 32_768))
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(handlers.get());
+                    }
+                })
+                .bind(at);
+    }
+
+    ByteBufAllocator alloc() {
+        return alloc;
+    }
+
+    void close() {
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Platform.java
@@ -0,0 +1,181 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Future;
+import mulleinlever.News;
+import mulleinlever.Policy;
+import mulleinlever.Verdict;
+import mulleinlever.drill.Fields;
+
+/** The platform that stages builds: its news on one connection, each vote on one of its own. */
+final class Platform {
+    private static final int LONGEST = 8192;
+    private static final long CONNECT_NS = 1_000_000_000L;
+    /** A sign of life comes each second; a platform that tells nothing for this long may have lost us. */
+    private static final long SILENT_NS = 4_000_000_000L;
+    private static final long RETRY_NS = 300_000_000L;
+    private static final long MS = 1_000_000L;
+
+    private final Net net;
+    private final Clock clock;
+    private final Log log;
+    private final InetSocketAddress address;
+    private final long voteWaitNs;
+    private Policy policy;
+    private Listener listener;
+
+    Platform(Net net, Clock clock, Log log, InetSocketAddress address, long voteWaitNs) {
+        this.net = net;
+        this.clock = clock;
+        this.log = log;
+        this.address = address;
+        this.voteWaitNs = voteWaitNs;
+    }
+
+    void reportsTo(Policy decides) {
+        this.policy = decides;
+    }
+
+    static News.Phase phase(String word, Fields at) {
+        return switch (word) {
+            case "testing" -> News.Phase.ON_TRIAL;
+            case "recalling" -> News.Phase.REVERTING;
+            case "live" -> News.Phase.RELEASED;
+            case "recalled" -> News.Phase.WITHDRAWN;
+            default -> throw at.bad("needs testing, recalling, live or recalled in phase");
+        };
+    }
+
+    /** The news behind a line's first words. */
+    private static News news(String[] words, int from) {
+        News.Phase phase = phase(words[from + 2], new JsonFields("platform: ", null));
+        return new News(Integer.parseInt(words[from]), Integer.parseInt(words[from + 1]), phase,
+                Double.parseDouble(words[from + 3]), age(words[from + 4]));
+    }
+
+    private static long age(String ms) {
+        return (long) (Math.max(0, Double.parseDouble(ms)) * MS);
+    }
+
+    void listen() {
+        listener = new Listener();
+        open(listener, CONNECT_NS);
+    }
+
+    void vote(int build, int stage, Verdict verdict) {
+        String word = switch (verdict) {
+            case NONE -> "clear";
+            case ON -> "approve";
+            case HOLD -> "wait";
+            case BACK -> "reject";
+        };
+        open(new Vote("BALLOT " + build + " " + stage + " " + word), Math.min(CONNECT_NS, voteWaitNs));
+    }
+
+    private void open(Call call, long withinNs) {
+        ChannelFuture f = net.connect(address, withinNs, call);
+        call.channel = f.channel();
+        f.addListener(done -> {
+            if (!done.isSuccess()) {
+                call.ended();
+            }
+        });
+    }
+
+    /** A connection that begins with one line of ours. */
+    private abstract class Call extends Lines {
+        Channel channel;
+        Future<?> limit;
+        boolean over;
+        private final String says;
+
+        Call(String says, long limitNs) {
+            super(LONGEST);
+            this.says = says;
+            limit = net.after(limitNs, this::ended);
+        }
+
+        @Override
+        void opened(ChannelHandlerContext ctx) {
+            ctx.writeAndFlush(Unpooled.copiedBuffer(says + "\r\n", StandardCharsets.US_ASCII));
+        }
+
+        abstract void end();
+
+        @Override
+        final void ended() {
+            if (!over) {
+                over = true;
+                limit.cancel(false);
+                channel.close();
+                end();
+            }
+        }
+    }
+
+    private final class Vote extends Call {
+        Vote(String says) {
+            super(says, voteWaitNs);
+        }
+
+        @Override
+        void line(String text) {
+            if (over || text.startsWith("*")) {
+                return;
+            }
+            String[] words = text.split(" ");
+            boolean counts = words[0].equals("OK") && words.length >= 6;
+            News n = counts ? news(words, 1) : null;
+            over = true;
+            limit.cancel(false);
+            channel.close();
+            policy.voteAnswered(clock.now(), counts);
+            if (counts) {
+                policy.news(clock.now(), n);
+            } else {
+                log.say("platform", "vote not taken: " + text);
+            }
+        }
+
+        /** With no answer it may count all the same, which the module allows for. */
+        @Override
+        void end() {
+            policy.voteAnswered(clock.now(), false);
+        }
+    }
+
+    private final class Listener extends Call {
+        Listener() {
+            super("NOTIFY", SILENT_NS);
+        }
+
+        @Override
+        void line(String text) {
+            if (over) {
+                return;
+            }
+            limit.cancel(false);
+            limit = net.after(SILENT_NS, this::ended);
+            String[] w = text.split(" ");
+            long now = clock.now();
+            switch (w.length > 1 && w[0].equals("*") ? w[1] : "") {
+                case "progress" -> policy.news(now, news(w, 2));
+                case "metrics" -> policy.tally(now, w[3], Integer.parseInt(w[2]), Double.parseDouble(w[4]),
+                        Double.parseDouble(w[5]), age(w[6]), age(w[7]));
+                case "complaint" -> policy.flagged(now, w[2], w[3]);
+                default -> { }
+            }
+        }
+
+        @Override
+        void end() {
+            log.say("platform", "the news have ended");
+            net.after(RETRY_NS, Platform.this::listen);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/PodLink.java
@@ -0,0 +1,169 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import mulleinlever.Ending;
+
+/** One connection to a pod: opening, then idle or carrying one try. */
+final class PodLink extends ChannelInboundHandlerAdapter {
+    final String pod;
+    final InetSocketAddress address;
+    private final Pods pods;
+    private final Relay relay;
+    private final Send send;
+    private final Clock clock;
+    private Channel channel;
+    private Frames frames;
+    private Future<?> openLimit;
+    /** The try that waits for this connection to open, or is carried by it. */
+    private Upstream at;
+    private boolean up;
+    private boolean closed;
+    final Relay.Answer answer = new Relay.Answer();
+    long idleSinceNs;
+
+    PodLink(String pod, InetSocketAddress address, Pods pods, Relay relay, Send send, Clock clock) {
+        this.pod = pod;
+        this.address = address;
+        this.pods = pods;
+        this.relay = relay;
+        this.send = send;
+        this.clock = clock;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    void awaits(Upstream t) {
+        at = t;
+    }
+
+    void carry(Upstream t) {
+        at = t;
+        answer.clear();
+    }
+
+    void opening(ChannelFuture connecting, Future<?> limit) {
+        channel = connecting.channel();
+        openLimit = limit;
+        connecting.addListener(f -> {
+            if (!f.isSuccess()) {
+                lost();
+            }
+        });
+    }
+
+    void notUp() {
+        if (!up) {
+            lost();
+        }
+    }
+
+    boolean usable() {
+        return up && !closed && channel.isActive() && at == null;
+    }
+
+    /** Its try is no longer waited for: the connection must not carry another behind it. */
+    void abandon() {
+        at = null;
+        close();
+    }
+
+    void close() {
+        if (!closed) {
+            closed = true;
+            if (openLimit != null) {
+                openLimit.cancel(false);
+            }
+            answer.clear();
+            pods.closed(this);
+            channel.close();
+        }
+    }
+
+    /** It broke, ended, or never came up. */
+    private void lost() {
+        Upstream t = at;
+        at = null;
+        close();
+        if (t != null) {
+            t.link = null;
+            send.end(t, Ending.RESET);
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        frames = new Frames(ctx.alloc());
+        ctx.writeAndFlush(Replies.opening());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+        if (closed) {
+            ((ByteBuf) msg).release();
+            return;
+        }
+        frames.add((ByteBuf) msg);
+        try {
+            while (!closed && frames.next(true)) {
+                if (!up) {
+                    opened();
+                } else if (frames.type == 'Z') {
+                    free();
+                } else if (at != null) {
+                    relay.message(this, at, frames);
+                }
+            }
+        } catch (Fault e) {
+            lost();
+        }
+    }
+
+    /** A pod that turns the connection away never saw the req. */
+    private void opened() {
+        if (frames.type == 'E') {
+            lost();
+        } else if (frames.type == 'Z') {
+            up = true;
+            openLimit.cancel(false);
+            if (at != null) {
+                send.write(at, this);
+            }
+        }
+    }
+
+    /** The try's end was told; until the pod is ready nothing else may go over this connection. */
+    void told() {
+        at.link = null;
+        at = null;
+    }
+
+    private void free() {
+        if (at != null) {
+            throw new Fault("ready without an answer");
+        }
+        idleSinceNs = clock.now();
+        pods.free(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        lost();
+        if (frames != null) {
+            frames.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        lost();
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Pods.java
@@ -0,0 +1,124 @@
+package mulleinlever.sidecar;
+
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import mulleinlever.PodEntry;
+import mulleinlever.Settings;
+
+/** Where the pods listen, and the connections to them that wait for work. */
+final class Pods {
+    /** Idle connections go before the pods' own limit: a req written to a closed one would be lost. */
+    private static final double IDLE_PART = 0.85;
+
+    private static final class Place {
+        InetSocketAddress address;
+        final ArrayDeque<PodLink> idle = new ArrayDeque<>();
+    }
+
+    private final Net net;
+    private final Clock clock;
+    private final Relay relay;
+    private final int most;
+    private final long connectNs;
+    private final long idleNs;
+    private final Map<String, Place> places = new LinkedHashMap<>();
+    private int open;
+
+    Pods(Net net, Clock clock, Relay relay, int most, Settings.Limits limits) {
+        this.net = net;
+        this.clock = clock;
+        this.relay = relay;
+        this.most = most;
+        this.connectNs = limits.connectTimeoutNs() > 0 ? limits.connectTimeoutNs() : 1_000_000_000L;
+        this.idleNs = limits.connectionIdleNs() > 0 ? (long) (IDLE_PART * limits.connectionIdleNs())
+                : Long.MAX_VALUE;
+    }
+
+    /** Connections to a pod that is leaving, or that moved, are of no more use. */
+    void told(PodList list) {
+        Set<String> missing = list.whole() ? new HashSet<>(places.keySet()) : new HashSet<>();
+        for (PodEntry e : list.entries()) {
+            missing.remove(e.id());
+            Place place = places.computeIfAbsent(e.id(), id -> new Place());
+            InetSocketAddress now = Address.of(list.addresses().getOrDefault(e.id(), ""));
+            boolean moved = now != null && !now.equals(place.address);
+            place.address = now == null ? place.address : now;
+            if (moved || e.state() != PodEntry.State.READY) {
+                closeIdle(place);
+            }
+        }
+        missing.forEach(id -> closeIdle(places.get(id)));
+    }
+
+    private static void closeIdle(Place place) {
+        new ArrayList<>(place.idle).forEach(PodLink::close);
+        place.idle.clear();
+    }
+
+    /** The one used last: those not needed grow old and are closed. */
+    PodLink idle(String pod) {
+        Place place = places.get(pod);
+        for (PodLink l = place.idle.pollLast(); l != null; l = place.idle.pollLast()) {
+            if (l.usable() && clock.now() - l.idleSinceNs < idleNs) {
+                return l;
+            }
+            l.close();
+        }
+        return null;
+    }
+
+    void free(PodLink link) {
+        Place place = places.get(link.pod);
+        if (link.address.equals(place.address)) {
+            place.idle.addLast(link);
+        } else {
+            link.close();
+        }
+    }
+
+    void closed(PodLink link) {
+        open--;
+        places.get(link.pod).idle.remove(link);
+    }
+
+    /** Opens a connection for a try; false where none may be. */
+    boolean open(Upstream t, Send send) {
+        Place place = places.get(t.pod);
+        if (place.address == null || open >= most && !makeRoom()) {
+            return false;
+        }
+        open++;
+        PodLink link = new PodLink(t.pod, place.address, this, relay, send, clock);
+        t.link = link;
+        link.awaits(t);
+        ChannelFuture f = net.connect(place.address, connectNs, link);
+        link.opening(f, net.after(connectNs, link::notUp));
+        return true;
+    }
+
+    private boolean makeRoom() {
+        PodLink oldest = null;
+        for (Place p : places.values()) {
+            PodLink l = p.idle.peekFirst();
+            oldest = l != null && (oldest == null || l.idleSinceNs < oldest.idleSinceNs) ? l : oldest;
+        }
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
+    void sweep(long now) {
+        for (Place p : places.values()) {
+            while (!p.idle.isEmpty() && now - p.idle.peekFirst().idleSinceNs >= idleNs) {
+                p.idle.pollFirst().close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Replies.java
@@ -0,0 +1,76 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+
+/** The messages of our own that a client or a pod is sent. */
+final class Replies {
+    static final String SHED = "53300";
+    static final String ERRORED = "XX000";
+    static final String MALFORMED = "08P01";
+    static final String UNKNOWN = "42601";
+
+    /** AuthenticationOk, then ReadyForQuery: no password is asked for, no settings are told. */
+    private static final ByteBuf WELCOME = fixed(new byte[] {'R', 0, 0, 0, 8, 0, 0, 0, 0, 'Z', 0, 0, 0, 5, 'I'});
+    private static final ByteBuf READY = fixed(new byte[] {'Z', 0, 0, 0, 5, 'I'});
+    private static final ByteBuf EMPTY = fixed(new byte[] {'I', 0, 0, 0, 4, 'Z', 0, 0, 0, 5, 'I'});
+    private static final ByteBuf NO_CRYPTO = fixed(new byte[] {'N'});
+    private static final ByteBuf HELLO = startup();
+
+    private Replies() { }
+
+    private static ByteBuf fixed(byte[] bytes) {
+        return Unpooled.unreleasableBuffer(Unpooled.directBuffer(bytes.length).writeBytes(bytes)).asReadOnly();
+    }
+
+    private static ByteBuf startup() {
+        byte[] words = "user\0web\0database\0orders\0\0".getBytes(StandardCharsets.US_ASCII);
+        ByteBuf all = Unpooled.buffer().writeInt(8 + words.length).writeInt(3 << 16).writeBytes(words);
+        byte[] bytes = new byte[all.readableBytes()];
+        all.readBytes(bytes);
+        return fixed(bytes);
+    }
+
+    static ByteBuf welcome() {
+        return WELCOME.duplicate();
+    }
+
+    static ByteBuf ready() {
+        return READY.duplicate();
+    }
+
+    static ByteBuf empty() {
+        return EMPTY.duplicate();
+    }
+
+    static ByteBuf noCrypto() {
+        return NO_CRYPTO.duplicate();
+    }
+
+    /** What opens a connection to a pod. */
+    static ByteBuf opening() {
+        return HELLO.duplicate();
+    }
+
+    /** ErrorResponse and ReadyForQuery; {@code comeBackMs} 0 gives no advice. */
+    static ByteBuf error(String code, String text, long comeBackMs, boolean ready) {
+        ByteBuf b = Unpooled.buffer(96);
+        b.writeByte('E').writeInt(0);
+        field(b, 'S', "ERROR");
+        field(b, 'V', "ERROR");
+        field(b, 'C', code);
+        field(b, 'M', text);
+        if (comeBackMs > 0) {
+            field(b, 'D', Long.toString(comeBackMs));
+        }
+        b.writeByte(0);
+        b.setInt(1, b.readableBytes() - 1);
+        return ready ? b.writeBytes(READY.duplicate()) : b;
+    }
+
+    private static void field(ByteBuf b, char name, String text) {
+        b.writeByte(name).writeCharSequence(text, StandardCharsets.UTF_8);
+        b.writeByte(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Send.java
@@ -0,0 +1,93 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import mulleinlever.Ending;
+
+/** Fourth stage: puts an upstream try on a connection to its pod, and abandons it. */
+final class Send {
+    private static final int HEAD = 5;
+
+    private final Net net;
+    private final Clock clock;
+    private final Book book;
+    private final Pods pods;
+
+    Send(Net net, Clock clock, Book book, Pods pods) {
+        this.net = net;
+        this.clock = clock;
+        this.book = book;
+        this.pods = pods;
+    }
+
+    void start(Held held, String pod, long limitNs) {
+        long now = clock.now();
+        Upstream t = new Upstream(held, held.tries.size(), pod, now, now + limitNs);
+        held.tries.add(t);
+        if (held.answered || limitNs <= 0) {
+            net.soon(() -> book.ended(t, Ending.MOOT, null));
+            return;
+        }
+        t.limit = net.after(limitNs, () -> end(t, Ending.TIMEOUT));
+        PodLink link = pods.idle(pod);
+        if (link != null) {
+            write(t, link);
+        } else if (!pods.open(t, this)) {
+            net.soon(() -> book.ended(t, Ending.CONNECT_FAILED, null));
+        }
+    }
+
+    /** Closing is what tells the pod to stop. */
+    void cancel(Upstream t) {
+        if (!t.ended) {
+            abandon(t);
+            net.soon(() -> book.ended(t, Ending.CANCELLED, null));
+        }
+    }
+
+    /** What was not written whole has not run, however it ended. */
+    void end(Upstream t, Ending ending) {
+        abandon(t);
+        book.ended(t, t.written ? ending : Ending.CONNECT_FAILED, null);
+    }
+
+    private static void abandon(Upstream t) {
+        if (t.link != null) {
+            PodLink link = t.link;
+            t.link = null;
+            link.abandon();
+        }
+    }
+
+    /** The text goes on as it was read, but for the time that is left: a new head, then the parts around it. */
+    void write(Upstream t, PodLink link) {
+        t.link = link;
+        link.carry(t);
+        Channel to = link.channel();
+        Statement s = t.held.statement;
+        ByteBuf text = s.text;
+        long leftMs = Math.max(1, (t.untilNs - clock.now()) / 1_000_000);
+        if (s.waitsMs < 0) {
+            to.write(head(to, text.readableBytes()));
+            to.write(text.retainedDuplicate());
+        } else {
+            String left = Long.toString(leftMs);
+            int from = text.readerIndex();
+            int behind = s.waitsAt + s.waitsLength;
+            to.write(head(to, text.readableBytes() - s.waitsLength + left.length()));
+            to.write(text.retainedSlice(from, s.waitsAt - from));
+            to.write(ByteBufUtil.writeAscii(to.alloc(), left));
+            to.write(text.retainedSlice(behind, text.writerIndex() - behind));
+        }
+        to.writeAndFlush(to.alloc().buffer(0)).addListener(f -> {
+            if (f.isSuccess()) {
+                t.written = true;
+            }
+        });
+    }
+
+    private static ByteBuf head(Channel to, int length) {
+        return to.alloc().buffer(HEAD).writeByte('Q').writeInt(length + HEAD - 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/TakeIn.java
@@ -0,0 +1,203 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.ArrayDeque;
+
+/** First stage: one client's connection, from its bytes to its commands, and the answers in their order. */
+final class TakeIn extends ChannelInboundHandlerAdapter {
+    private static final int MOST_IN_LINE = 32;
+    /** Against peers that go silent within a message, or take no answer. */
+    private static final long STUCK_NS = 20_000_000_000L;
+    private static final int SSL = 80_877_103;
+    private static final int GSS = 80_877_104;
+
+    private final Admit admit;
+    private final Clients clients;
+    private final Flow flow;
+    private final Book book;
+    private final Clock clock;
+    private final ArrayDeque<Held> line = new ArrayDeque<>();
+    private Channel channel;
+    private Frames frames;
+    private boolean started;
+    private boolean closing;
+    private long movedNs;
+
+    TakeIn(Admit admit, Clients clients, Flow flow, Book book, Clock clock) {
+        this.admit = admit;
+        this.clients = clients;
+        this.flow = flow;
+        this.book = book;
+        this.clock = clock;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        frames = new Frames(ctx.alloc());
+        movedNs = clock.now();
+        clients.opened(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+        movedNs = clock.now();
+        if (closing) {
+            ((ByteBuf) msg).release();
+            return;
+        }
+        frames.add((ByteBuf) msg);
+        decode();
+    }
+
+    private void decode() {
+        try {
+            while (!closing && mayRead() && frames.next(started)) {
+                if (started) {
+                    command();
+                } else {
+                    startup();
+                }
+            }
+        } catch (Fault e) {
+            malformed(e.getMessage());
+        }
+        channel.config().setAutoRead(!closing && mayRead());
+    }
+
+    private boolean mayRead() {
+        if (flow.full()) {
+            flow.await(this);
+            return false;
+        }
+        return line.size() < MOST_IN_LINE && channel.isWritable();
+    }
+
+    void resume() {
+        if (channel.isActive() && !closing) {
+            decode();
+        }
+    }
+
+    private void startup() {
+        int code = frames.length >= 4 ? frames.bytes().getInt(frames.at) : 0;
+        if (code == SSL || code == GSS) {
+            channel.writeAndFlush(Replies.noCrypto());
+        } else if (code >>> 16 == 3) {
+            started = true;
+            channel.writeAndFlush(Replies.welcome());
+        } else {
+            throw new Fault("no such startup");
+        }
+    }
+
+    private void command() {
+        switch (frames.type) {
+            case 'Q' -> {
+                if (frames.length < 1 || frames.bytes().getByte(frames.at + frames.length - 1) != 0) {
+                    throw new Fault("a query without its end");
+                }
+                admit.query(this, frames.keep());
+            }
+            case 'X' -> {
+                closing = true;
+                closeIfIdle();
+            }
+            default -> throw new Fault("no such command");
+        }
+    }
+
+    /** What came before gets its answers, then the connection ends. */
+    private void malformed(String why) {
+        closing = true;
+        command(Replies.error(Replies.MALFORMED, why, 0, false));
+    }
+
+    /** A command that is no req takes its place in the line with its answer. */
+    void command(ByteBuf answer) {
+        Held held = new Held(this, null);
+        held.answer = answer;
+        line.add(held);
+        answerReady();
+    }
+
+    void inLine(Held held) {
+        line.add(held);
+        flow.add(held.bytes());
+    }
+
+    void settled(Held held) {
+        flow.remove(held.bytes());
+    }
+
+    /** Answers go out in the order of the commands. */
+    void answerReady() {
+        boolean any = false;
+        while (!line.isEmpty() && line.peek().answer != null) {
+            channel.write(line.poll().answer);
+            any = true;
+        }
+        if (!any) {
+            return;
+        }
+        movedNs = clock.now();
+        channel.flush();
+        if (line.isEmpty() && (closing || clients.finishing() && !frames.partial())) {
+            close();
+        } else if (!channel.config().isAutoRead()) {
+            // Not from here: the module may be in the middle of a call.
+            channel.eventLoop().execute(this::resume);
+        }
+    }
+
+    private void close() {
+        closing = true;
+        channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    void closeIfIdle() {
+        if (line.isEmpty() && (closing || !frames.partial())) {
+            close();
+        }
+    }
+
+    void closeIfStuck(long now) {
+        boolean stuck = !started || frames.partial() || !channel.isWritable();
+        if (stuck && now - movedNs > STUCK_NS) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (channel.isWritable()) {
+            channel.eventLoop().execute(this::resume);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        closing = true;
+        clients.closed(this);
+        flow.forget(this);
+        frames.close();
+        for (Held held : line) {
+            if (held.answer != null) {
+                held.answer.release();
+            }
+            if (held.statement != null) {
+                book.clientGone(held);
+            }
+        }
+        line.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- a/src/test/java/mulleinlever/Bench.java
+++ b/src/test/java/mulleinlever/Bench.java
@@ -124,9 +124,6 @@
         cancelled.add(rq);
     }
 
-    @Override
-    public void probe(String pod) { }
-
     @Override
     public void vote(int build, int stage, Verdict verdict) {
         votes.add(new Vote(now, build, stage, verdict));
@@ -135,9 +132,6 @@
     @Override
     public void watchList() { }
 
-    @Override
-    public void fetchList() { }
-
     @Override
     public void timer(long atNs, String token) {
         timers.computeIfAbsent(Math.max(atNs, now + 1), t -> new ArrayList<>()).add(token);
