Sockets hardened: bounded memory and descriptors, named faults; integration tests over sockets

Seen while reading the first version: a client resumed by the flow's bound could be read within a call of the module (Flow.remove, called from Book.settle); a fault in a repeating task would have ended it unseen (Net.every); answers not taken by slow clients were bounded by nothing; a try waiting for a connection to a pod told to drain would be sent up to 250 ms later. Each is mended; 14 tests start the program and speak to it between stand-ins for pods, discovery and the platform.

--- a/src/main/java/mulleinlever/drill/Fields.java
+++ b/src/main/java/mulleinlever/drill/Fields.java
@@ -8,8 +8,8 @@
     /** The field's text, or null where there is none; lists of plain values are joined by commas. */
     protected abstract String find(String name);
 
-    /** The fault to throw: what was expected, naming the field. */
-    public abstract RuntimeException bad(String expected);
+    /** The fault to throw: which field, and what it needs to hold; null where it is missing. */
+    public abstract RuntimeException bad(String name, String needs);
 
     public final boolean has(String name) {
         return find(name) != null;
@@ -18,7 +18,7 @@
     public final String text(String name) {
         String v = find(name);
         if (v == null) {
-            throw bad("needs the field " + name);
+            throw bad(name, null);
         }
         return v;
     }
@@ -40,7 +40,7 @@
     public final int count(String name) {
         long v = whole(name);
         if (v < Integer.MIN_VALUE || v > Integer.MAX_VALUE) {
-            throw bad("needs a smaller number in " + name);
+            throw bad(name, "a smaller number");
         }
         return (int) v;
     }
@@ -57,9 +57,9 @@
                 return x;
             }
         } catch (NumberFormatException e) {
-            throw bad("needs a number in " + name);
+            throw bad(name, "a number");
         }
-        throw bad("needs a number in " + name);
+        throw bad(name, "a number");
     }
 
     public final boolean flag(String name, boolean absent) {
@@ -70,7 +70,7 @@
         return switch (v) {
             case "1", "true" -> true;
             case "0", "false" -> false;
-            default -> throw bad("needs 1 or 0 in " + name);
+            default -> throw bad(name, "1 or 0");
         };
     }
 
@@ -79,7 +79,7 @@
         try {
             return Enum.valueOf(type, v.toUpperCase(Locale.ROOT));
         } catch (IllegalArgumentException e) {
-            throw bad("needs a known word in " + name);
+            throw bad(name, "a known word");
         }
     }
 
@@ -87,7 +87,7 @@
         try {
             return v.indexOf('.') < 0 ? Long.parseLong(v) : new BigDecimal(v).longValueExact();
         } catch (NumberFormatException | ArithmeticException e) {
-            throw bad("needs a whole number in " + name);
+            throw bad(name, "a whole number");
         }
     }
 }
--- a/src/main/java/mulleinlever/drill/Line.java
+++ b/src/main/java/mulleinlever/drill/Line.java
@@ -12,11 +12,15 @@
         this.message = parts[0];
     }
 
-    @Override
-    public BadInput bad(String expected) {
+    BadInput bad(String expected) {
         return new BadInput(no, message + " " + expected);
     }
 
+    @Override
+    public BadInput bad(String name, String needs) {
+        return bad(needs == null ? "needs the field " + name : "needs " + needs + " in " + name);
+    }
+
     @Override
     protected String find(String name) {
         for (int i = 1; i < parts.length; i++) {
--- a/src/main/java/mulleinlever/drill/SettingsFields.java
+++ b/src/main/java/mulleinlever/drill/SettingsFields.java
@@ -33,7 +33,7 @@
             case "inline" -> ReportSource.INLINE;
             case "on_probe" -> ReportSource.ON_PROBE;
             case "off" -> ReportSource.OFF;
-            default -> throw l.bad("needs inline, on_probe or off in reporting.source");
+            default -> throw l.bad("reporting.source", "inline, on_probe or off");
         };
         Rules rules = new Rules(l.whole("contract.answerSlackNs", 0),
                 l.whole("contract.stopSendingWithinNs", 0),
@@ -62,7 +62,7 @@
             case "safe" -> Repeat.RETRIABLE;
             case "keyed" -> Repeat.DEDUPED;
             case "unsafe" -> Repeat.NON_RETRIABLE;
-            default -> throw l.bad("needs safe, keyed or unsafe in " + at + "repeat");
+            default -> throw l.bad(at + "repeat", "safe, keyed or unsafe");
         };
         return new Route(l.text(at + "name"), l.whole(at + "aimNs"), l.number(at + "aimStretch", 0),
                 l.whole(at + "deadlineNs"), repeat,
--- a/src/main/java/mulleinlever/sidecar/Chunked.java
+++ b/src/main/java/mulleinlever/sidecar/Chunked.java
@@ -13,8 +13,8 @@
     private boolean chunked;
     private int left;
 
-    Chunked(int longest) {
-        super(longest);
+    Chunked(int longest, Log log, String about) {
+        super(longest, log, about);
     }
 
     /** The last chunk has come. */
--- a/src/main/java/mulleinlever/sidecar/Clients.java
+++ b/src/main/java/mulleinlever/sidecar/Clients.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -25,11 +26,15 @@
         return all.size();
     }
 
-    /** At the most, no more are accepted: they wait in the machine's queue rather than use up descriptors. */
-    void opened(TakeIn client) {
+    /**
+     * At the most, the one idle for longest goes. If none is idle no more are accepted: they wait in the
+     * machine's queue rather than use up descriptors.
+     */
+    void opened(TakeIn client, long now) {
         all.add(client);
         if (all.size() >= most) {
-            listener.config().setAutoRead(false);
+            all.stream().filter(c -> c.idleNs(now) >= 0).max(Comparator.comparingLong(c -> c.idleNs(now)))
+                    .ifPresentOrElse(TakeIn::closeIfIdle, () -> listener.config().setAutoRead(false));
         }
     }
 
--- a/src/main/java/mulleinlever/sidecar/Config.java
+++ b/src/main/java/mulleinlever/sidecar/Config.java
@@ -38,14 +38,39 @@
         JsonFields all = new JsonFields("configuration: ", root);
         long sockets = all.whole("limits.sockets", SOCKETS);
         if (sockets < FEWEST_SOCKETS) {
-            throw all.bad("needs at least " + FEWEST_SOCKETS + " in limits.sockets");
+            throw all.bad("limits.sockets", "at least " + FEWEST_SOCKETS);
         }
         return new Config(all.text("name", env.getOrDefault("LB_NAME", "sidecar")),
                 address(all, "listen", env.get("LB_LISTEN")),
                 address(all, "discovery", env.get("LB_DISCOVERY")),
                 address(all, "release_api.address", null), seed(all), (int) Math.min(1 << 20, sockets),
                 PodList.read(all.inner("known")), news(all.inner("release_api.news")),
-                SettingsFields.read(all.inner("settings")));
+                settings(all.inner("settings")));
+    }
+
+    /** What would make the module divide by nothing, or wait for nothing, is found here. */
+    private static Settings settings(JsonFields from) {
+        Settings set = SettingsFields.read(from);
+        check(from, "grades", "at least one route", !set.routes().isEmpty());
+        for (int i = 0; i < set.routes().size(); i++) {
+            Settings.Route r = set.routes().get(i);
+            check(from, "grades." + i + ".aimNs", "more than 0", r.objectiveNs() > 0);
+            check(from, "grades." + i + ".deadlineNs", "more than 0", r.timeoutNs() > 0);
+        }
+        check(from, "balancers", "more than rank", set.sidecars() > set.rank() && set.rank() >= 0);
+        check(from, "stepNs", "0 or more", set.stepNs() >= 0);
+        Settings.Rollout rollout = set.rollout();
+        check(from, "familyInfo.mostShares", "as many as steps", !rollout.caps().isEmpty()
+                && rollout.caps().size() == rollout.shares().size());
+        check(from, "familyInfo.voteWaitNs", "more than 0", rollout.voteWaitNs() > 0);
+        check(from, "policyLimits.maxAttempts", "1 or more", set.limits().maxTries() > 0);
+        return set;
+    }
+
+    private static void check(JsonFields from, String key, String needs, boolean holds) {
+        if (!holds) {
+            throw from.bad(key, needs);
+        }
     }
 
     private static News news(JsonFields from) {
@@ -57,7 +82,7 @@
         try {
             return Long.parseUnsignedLong(all.text("seed"), 16);
         } catch (NumberFormatException e) {
-            throw all.bad("needs up to 16 hex digits in seed");
+            throw all.bad("seed", "up to 16 hex digits");
         }
     }
 
@@ -65,7 +90,7 @@
         String v = absent == null ? all.text(key) : all.text(key, absent);
         InetSocketAddress a = Address.of(v);
         if (a == null) {
-            throw all.bad("needs an IP address and port in " + key + ", found " + v);
+            throw all.bad(key, "an IP address and port, not " + v);
         }
         return a;
     }
--- a/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.concurrent.Future;
 import mulleinlever.Policy;
 
@@ -41,12 +40,13 @@
     /** Takes a list, from the configuration or from a watch. */
     void take(PodList list) {
         version = list.version();
-        pods.told(list);
+        pods.learn(list);
         if (list.whole()) {
             policy.listWhole(clock.now(), list.entries());
         } else {
             policy.listChanged(clock.now(), list.entries());
         }
+        pods.retire(list);
     }
 
     /** Opens a watch in place of any before it. */
@@ -74,7 +74,7 @@
         private boolean over;
 
         Watch() {
-            super(LONGEST);
+            super(LONGEST, log, "discovery");
             heard();
         }
 
@@ -99,8 +99,7 @@
             }
             heard();
             if (!text.isBlank()) {
-                take(PodList.read(new JsonFields("discovery: ", Json.read(text) instanceof Map<?, ?> m ? m
-                        : Map.of())));
+                take(PodList.read(new JsonFields("discovery: ", Json.read(text))));
             }
         }
 
--- a/src/main/java/mulleinlever/sidecar/Flow.java
+++ b/src/main/java/mulleinlever/sidecar/Flow.java
@@ -1,10 +1,12 @@
 package mulleinlever.sidecar;
 
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
-/** Bounds the bytes of reqs in hand: past the most, clients are not read from until there is room again. */
+/**
+ * Bounds the bytes held for clients: messages half read, reqs in hand, answers not yet taken. Past the most,
+ * none is read from until there is room again, so that neither large values nor slow readers use up the memory.
+ */
 final class Flow {
     private static final long MOST = 12L << 20;
 
@@ -22,9 +24,8 @@
     void remove(int less) {
         bytes -= less;
         if (!full() && !waiting.isEmpty()) {
-            var all = new ArrayList<>(waiting);
+            waiting.forEach(TakeIn::resumeSoon);
             waiting.clear();
-            all.forEach(TakeIn::resume);
         }
     }
 
--- a/src/main/java/mulleinlever/sidecar/Frames.java
+++ b/src/main/java/mulleinlever/sidecar/Frames.java
@@ -67,7 +67,12 @@
     }
 
     boolean partial() {
-        return bytes != null && bytes.isReadable();
+        return pending() > 0;
+    }
+
+    /** Bytes read that belong to no whole message yet, or to one not yet asked for. */
+    int pending() {
+        return bytes == null ? 0 : bytes.readableBytes();
     }
 
     ByteBuf bytes() {
--- a/src/main/java/mulleinlever/sidecar/JsonFields.java
+++ b/src/main/java/mulleinlever/sidecar/JsonFields.java
@@ -18,7 +18,7 @@
     /** The object at a path within this one. */
     JsonFields inner(String path) {
         if (!(walk(path) instanceof Map)) {
-            throw bad("needs an object in " + path);
+            throw bad(path, "an object");
         }
         return new JsonFields(where + path + ".", walk(path));
     }
@@ -26,7 +26,7 @@
     /** The objects of the list at a path. */
     List<JsonFields> all(String path) {
         if (!(walk(path) instanceof List<?> list)) {
-            throw bad("needs a list in " + path);
+            throw bad(path, "a list");
         }
         int[] i = {0};
         return list.stream().map(o -> new JsonFields(where + path + "." + i[0]++ + ".", o)).toList();
@@ -61,7 +61,7 @@
     }
 
     @Override
-    public Fault bad(String expected) {
-        return new Fault(where + " " + expected);
+    public Fault bad(String name, String needs) {
+        return new Fault(where + name + (needs == null ? " is missing" : " needs " + needs));
     }
 }
--- a/src/main/java/mulleinlever/sidecar/Life.java
+++ b/src/main/java/mulleinlever/sidecar/Life.java
@@ -1,5 +1,7 @@
 package mulleinlever.sidecar;
 
+import java.util.Locale;
+
 /** The phases of the process, from start to exit. */
 final class Life {
     enum Phase {
@@ -34,7 +36,7 @@
             return false;
         }
         phase = next;
-        log.say("life", next.name().toLowerCase(java.util.Locale.ROOT));
+        log.say("life", next.name().toLowerCase(Locale.ROOT));
         return true;
     }
 }
--- a/src/main/java/mulleinlever/sidecar/Lines.java
+++ b/src/main/java/mulleinlever/sidecar/Lines.java
@@ -3,16 +3,22 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /** A connection on which lines of text arrive, split anywhere. */
 abstract class Lines extends ChannelInboundHandlerAdapter {
     private final int longest;
+    private final Log log;
+    private final String about;
     private byte[] line = new byte[256];
     private int length;
 
-    Lines(int longest) {
+    Lines(int longest, Log log, String about) {
         this.longest = longest;
+        this.log = log;
+        this.about = about;
     }
 
     abstract void opened(ChannelHandlerContext ctx);
@@ -40,7 +46,7 @@
             throw new Fault("a line longer than " + longest);
         }
         if (length == line.length) {
-            line = java.util.Arrays.copyOf(line, 2 * length);
+            line = Arrays.copyOf(line, 2 * length);
         }
         line[length++] = b;
     }
@@ -68,6 +74,11 @@
     /** What can't be read costs the connection, and what it was for is asked anew. */
     @Override
     public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof IOException) {
+            log.say(about, cause.toString());
+        } else {
+            log.fault(about, cause);
+        }
         ctx.close();
     }
 }
--- a/src/main/java/mulleinlever/sidecar/Log.java
+++ b/src/main/java/mulleinlever/sidecar/Log.java
@@ -20,6 +20,12 @@
         this.startNs = clock.now();
     }
 
+    /** A fault of our own: with where it was thrown, which is what its mender asks first. */
+    void fault(String about, Throwable e) {
+        StackTraceElement[] at = e.getStackTrace();
+        say(about, "fault: " + e + (at.length > 0 ? " at " + at[0] : ""));
+    }
+
     synchronized void say(String about, String text) {
         long sinceMs = (clock.now() - startNs) / 1_000_000;
         if (sinceMs / 1000 != second) {
--- a/src/main/java/mulleinlever/sidecar/Net.java
+++ b/src/main/java/mulleinlever/sidecar/Net.java
@@ -30,19 +30,35 @@
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ByteBufAllocator alloc = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER);
-    final EventLoop loop = group.next();
+    private final EventLoop loop = group.next();
+    private final Log log;
+
+    Net(Log log) {
+        this.log = log;
+    }
 
     /** Not within the call that asks for it: the module is not to be called while it decides. */
     void soon(Runnable what) {
-        loop.execute(what);
+        loop.execute(guarded(what));
     }
 
     Future<?> after(long ns, Runnable what) {
-        return loop.schedule(what, Math.max(0, ns), TimeUnit.NANOSECONDS);
+        return loop.schedule(guarded(what), Math.max(0, ns), TimeUnit.NANOSECONDS);
     }
 
     void every(long ns, Runnable what) {
-        loop.scheduleAtFixedRate(what, ns, ns, TimeUnit.NANOSECONDS);
+        loop.scheduleAtFixedRate(guarded(what), ns, ns, TimeUnit.NANOSECONDS);
+    }
+
+    /** A fault in one task must neither pass unseen nor end those that repeat. */
+    private Runnable guarded(Runnable what) {
+        return () -> {
+            try {
+                what.run();
+            } catch (RuntimeException e) {
+                log.fault("loop", e);
+            }
+        };
     }
 
     ChannelFuture connect(InetSocketAddress to, long withinNs, ChannelHandler handler) {
@@ -70,10 +86,6 @@
                 .bind(at);
     }
 
-    ByteBufAllocator alloc() {
-        return alloc;
-    }
-
     void close() {
         group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/mulleinlever/sidecar/Platform.java
+++ b/src/main/java/mulleinlever/sidecar/Platform.java
@@ -47,7 +47,7 @@
             case "recalling" -> News.Phase.REVERTING;
             case "live" -> News.Phase.RELEASED;
             case "recalled" -> News.Phase.WITHDRAWN;
-            default -> throw at.bad("needs testing, recalling, live or recalled in phase");
+            default -> throw at.bad("phase", "testing, recalling, live or recalled");
         };
     }
 
@@ -95,7 +95,7 @@
         private final String says;
 
         Call(String says, long limitNs) {
-            super(LONGEST);
+            super(LONGEST, log, "platform");
             this.says = says;
             limit = net.after(limitNs, this::ended);
         }
--- a/src/main/java/mulleinlever/sidecar/PodLink.java
+++ b/src/main/java/mulleinlever/sidecar/PodLink.java
@@ -120,6 +120,9 @@
                     free();
                 } else if (at != null) {
                     relay.message(this, at, frames);
+                } else if (frames.type == 'E') {
+                    // Nothing was asked: the pod says that it is about to end the connection.
+                    close();
                 }
             }
         } catch (Fault e) {
@@ -133,6 +136,7 @@
             lost();
         } else if (frames.type == 'Z') {
             up = true;
+            pods.opened(this);
             openLimit.cancel(false);
             if (at != null) {
                 send.write(at, this);
--- a/src/main/java/mulleinlever/sidecar/Pods.java
+++ b/src/main/java/mulleinlever/sidecar/Pods.java
@@ -4,8 +4,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import mulleinlever.PodEntry;
@@ -19,6 +19,7 @@
     private static final class Place {
         InetSocketAddress address;
         final ArrayDeque<PodLink> idle = new ArrayDeque<>();
+        final Set<PodLink> opening = new LinkedHashSet<>();
     }
 
     private final Net net;
@@ -40,20 +41,35 @@
                 : Long.MAX_VALUE;
     }
 
-    /** Connections to a pod that is leaving, or that moved, are of no more use. */
-    void told(PodList list) {
-        Set<String> missing = list.whole() ? new HashSet<>(places.keySet()) : new HashSet<>();
+    /** Before the module hears of the list, so that it can use all that stands on it. */
+    void learn(PodList list) {
         for (PodEntry e : list.entries()) {
-            missing.remove(e.id());
             Place place = places.computeIfAbsent(e.id(), id -> new Place());
             InetSocketAddress now = Address.of(list.addresses().getOrDefault(e.id(), ""));
-            boolean moved = now != null && !now.equals(place.address);
-            place.address = now == null ? place.address : now;
-            if (moved || e.state() != PodEntry.State.READY) {
+            if (now != null && !now.equals(place.address)) {
+                place.address = now;
                 closeIdle(place);
             }
         }
-        missing.forEach(id -> closeIdle(places.get(id)));
+    }
+
+    /**
+     * After the module has heard: what waits for a connection to a pod that leaves would be sent there late,
+     * past the time in which that is allowed, so it has failed to connect and the module decides anew.
+     */
+    void retire(PodList list) {
+        Set<String> leaving = list.whole() ? new LinkedHashSet<>(places.keySet()) : new LinkedHashSet<>();
+        for (PodEntry e : list.entries()) {
+            if (e.state() == PodEntry.State.READY) {
+                leaving.remove(e.id());
+            } else {
+                leaving.add(e.id());
+            }
+        }
+        for (String id : leaving) {
+            closeIdle(places.get(id));
+            new ArrayList<>(places.get(id).opening).forEach(PodLink::notUp);
+        }
     }
 
     private static void closeIdle(Place place) {
@@ -85,6 +101,11 @@
     void closed(PodLink link) {
         open--;
         places.get(link.pod).idle.remove(link);
+        places.get(link.pod).opening.remove(link);
+    }
+
+    void opened(PodLink link) {
+        places.get(link.pod).opening.remove(link);
     }
 
     /** Opens a connection for a try; false where none may be. */
@@ -97,6 +118,7 @@
         PodLink link = new PodLink(t.pod, place.address, this, relay, send, clock);
         t.link = link;
         link.awaits(t);
+        place.opening.add(link);
         ChannelFuture f = net.connect(place.address, connectNs, link);
         link.opening(f, net.after(connectNs, link::notUp));
         return true;
--- a/src/main/java/mulleinlever/sidecar/Replies.java
+++ b/src/main/java/mulleinlever/sidecar/Replies.java
@@ -11,8 +11,7 @@
     static final String MALFORMED = "08P01";
     static final String UNKNOWN = "42601";
 
-    /** AuthenticationOk, then ReadyForQuery: no password is asked for, no settings are told. */
-    private static final ByteBuf WELCOME = fixed(new byte[] {'R', 0, 0, 0, 8, 0, 0, 0, 0, 'Z', 0, 0, 0, 5, 'I'});
+    private static final ByteBuf WELCOME = welcoming();
     private static final ByteBuf READY = fixed(new byte[] {'Z', 0, 0, 0, 5, 'I'});
     private static final ByteBuf EMPTY = fixed(new byte[] {'I', 0, 0, 0, 4, 'Z', 0, 0, 0, 5, 'I'});
     private static final ByteBuf NO_CRYPTO = fixed(new byte[] {'N'});
@@ -24,6 +23,21 @@
         return Unpooled.unreleasableBuffer(Unpooled.directBuffer(bytes.length).writeBytes(bytes)).asReadOnly();
     }
 
+    /** AuthenticationOk, no password being asked for; the settings that client libraries insist on; ready. */
+    private static ByteBuf welcoming() {
+        String[] settings = {"server_version", "16.0", "server_encoding", "UTF8", "client_encoding", "UTF8",
+            "DateStyle", "ISO, MDY", "integer_datetimes", "on", "standard_conforming_strings", "on"};
+        ByteBuf all = Unpooled.buffer().writeBytes(new byte[] {'R', 0, 0, 0, 8, 0, 0, 0, 0});
+        for (int i = 0; i < settings.length; i += 2) {
+            byte[] words = (settings[i] + "\0" + settings[i + 1] + "\0").getBytes(StandardCharsets.US_ASCII);
+            all.writeByte('S').writeInt(4 + words.length).writeBytes(words);
+        }
+        all.writeBytes(new byte[] {'Z', 0, 0, 0, 5, 'I'});
+        byte[] bytes = new byte[all.readableBytes()];
+        all.readBytes(bytes);
+        return fixed(bytes);
+    }
+
     private static ByteBuf startup() {
         byte[] words = "user\0web\0database\0orders\0\0".getBytes(StandardCharsets.US_ASCII);
         ByteBuf all = Unpooled.buffer().writeInt(8 + words.length).writeInt(3 << 16).writeBytes(words);
--- a/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/src/main/java/mulleinlever/sidecar/Serve.java
@@ -1,5 +1,6 @@
 package mulleinlever.sidecar;
 
+import io.netty.channel.ChannelFuture;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +26,7 @@
     private final Clock clock;
     private final Log log;
     private final Life life;
-    private final Net net = new Net();
+    private final Net net;
     private final CountDownLatch done = new CountDownLatch(1);
     private final Clients clients;
     private final Book book;
@@ -39,6 +40,7 @@
         this.clock = clock;
         this.log = log;
         this.life = new Life(log);
+        this.net = new Net(log);
         this.clients = new Clients((int) (CLIENTS_PART * config.sockets()), life);
         this.book = new Book(clock);
         this.pods = new Pods(net, clock, new Relay(book), (int) (PODS_PART * config.sockets()),
@@ -96,9 +98,9 @@
         });
         lastNs = clock.now();
         net.every(WATCH_NS, this::watchLoop);
-        net.listen(config.listen(), () -> new TakeIn(admit, clients, flow, book, clock)).addListener(f -> {
+        net.listen(config.listen(), () -> new TakeIn(admit, clients, flow, book, clock, log)).addListener(f -> {
             if (f.isSuccess()) {
-                clients.listensAt(((io.netty.channel.ChannelFuture) f).channel());
+                clients.listensAt(((ChannelFuture) f).channel());
                 life.enter(Life.Phase.SERVING);
             } else {
                 log.say("life", "can't listen at " + config.listen() + ": " + f.cause());
--- a/src/main/java/mulleinlever/sidecar/TakeIn.java
+++ b/src/main/java/mulleinlever/sidecar/TakeIn.java
@@ -1,17 +1,19 @@
 package mulleinlever.sidecar;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
 import java.util.ArrayDeque;
 
 /** First stage: one client's connection, from its bytes to its commands, and the answers in their order. */
 final class TakeIn extends ChannelInboundHandlerAdapter {
     private static final int MOST_IN_LINE = 32;
-    /** Against peers that go silent within a message, or take no answer. */
-    private static final long STUCK_NS = 20_000_000_000L;
+    /** Against peers that go silent before or within a message, or take no answer. */
+    private static final long STUCK_NS = 10_000_000_000L;
     private static final int SSL = 80_877_103;
     private static final int GSS = 80_877_104;
 
@@ -20,19 +22,22 @@
     private final Flow flow;
     private final Book book;
     private final Clock clock;
+    private final Log log;
     private final ArrayDeque<Held> line = new ArrayDeque<>();
     private Channel channel;
     private Frames frames;
     private boolean started;
     private boolean closing;
     private long movedNs;
+    private int halfRead;
 
-    TakeIn(Admit admit, Clients clients, Flow flow, Book book, Clock clock) {
+    TakeIn(Admit admit, Clients clients, Flow flow, Book book, Clock clock, Log log) {
         this.admit = admit;
         this.clients = clients;
         this.flow = flow;
         this.book = book;
         this.clock = clock;
+        this.log = log;
     }
 
     @Override
@@ -40,7 +45,7 @@
         channel = ctx.channel();
         frames = new Frames(ctx.alloc());
         movedNs = clock.now();
-        clients.opened(this);
+        clients.opened(this, movedNs);
     }
 
     @Override
@@ -66,9 +71,15 @@
         } catch (Fault e) {
             malformed(e.getMessage());
         }
+        count(frames.pending());
         channel.config().setAutoRead(!closing && mayRead());
     }
 
+    private void count(int pending) {
+        flow.add(pending - halfRead);
+        halfRead = pending;
+    }
+
     private boolean mayRead() {
         if (flow.full()) {
             flow.await(this);
@@ -77,10 +88,13 @@
         return line.size() < MOST_IN_LINE && channel.isWritable();
     }
 
-    void resume() {
-        if (channel.isActive() && !closing) {
-            decode();
-        }
+    /** Not at once: the module may be in the middle of a call, and what is read next becomes another. */
+    void resumeSoon() {
+        channel.eventLoop().execute(() -> {
+            if (channel.isActive() && !closing) {
+                decode();
+            }
+        });
     }
 
     private void startup() {
@@ -138,7 +152,10 @@
     void answerReady() {
         boolean any = false;
         while (!line.isEmpty() && line.peek().answer != null) {
-            channel.write(line.poll().answer);
+            ByteBuf answer = line.poll().answer;
+            int n = answer.readableBytes();
+            flow.add(n);
+            channel.write(answer).addListener(f -> flow.remove(n));
             any = true;
         }
         if (!any) {
@@ -149,14 +166,13 @@
         if (line.isEmpty() && (closing || clients.finishing() && !frames.partial())) {
             close();
         } else if (!channel.config().isAutoRead()) {
-            // Not from here: the module may be in the middle of a call.
-            channel.eventLoop().execute(this::resume);
+            resumeSoon();
         }
     }
 
     private void close() {
         closing = true;
-        channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
 
     void closeIfIdle() {
@@ -165,6 +181,11 @@
         }
     }
 
+    /** For how long it has had nothing to do; -1 where it has. */
+    long idleNs(long now) {
+        return started && !closing && line.isEmpty() && !frames.partial() ? now - movedNs : -1;
+    }
+
     void closeIfStuck(long now) {
         boolean stuck = !started || frames.partial() || !channel.isWritable();
         if (stuck && now - movedNs > STUCK_NS) {
@@ -175,7 +196,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (channel.isWritable()) {
-            channel.eventLoop().execute(this::resume);
+            resumeSoon();
         }
     }
 
@@ -184,6 +205,7 @@
         closing = true;
         clients.closed(this);
         flow.forget(this);
+        count(0);
         frames.close();
         for (Held held : line) {
             if (held.answer != null) {
@@ -198,6 +220,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            log.fault("client", cause);
+        }
         ctx.close();
     }
 }
--- /dev/null
+++ b/src/test/java/mulleinlever/sidecar/SocketsTest.java
@@ -0,0 +1,615 @@
+package mulleinlever.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the program and speaks to it over sockets, between stand-ins for pods, discovery and the platform. */
+@Timeout(60)
+class SocketsTest {
+    /** What serves one connection of a stand-in. */
+    private interface Serving {
+        void serve(DataInputStream in, DataOutputStream out) throws Exception;
+    }
+
+    /** A stand-in that listens; it keeps what it was told, and its open connections. */
+    private final class Listener implements Closeable {
+        final ServerSocket at = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+        final List<String> told = new CopyOnWriteArrayList<>();
+        final List<Socket> open = new CopyOnWriteArrayList<>();
+        volatile int ended;
+
+        Listener(Serving serving) throws IOException {
+            thread(() -> {
+                while (true) {
+                    Socket s = at.accept();
+                    s.setTcpNoDelay(true);
+                    open.add(s);
+                    thread(() -> {
+                        try (s) {
+                            serving.serve(new DataInputStream(s.getInputStream()),
+                                    new DataOutputStream(s.getOutputStream()));
+                        } finally {
+                            open.remove(s);
+                            ended++;
+                        }
+                    });
+                }
+            });
+            all.add(this);
+        }
+
+        String address() {
+            return "127.0.0.1:" + at.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            at.close();
+            for (Socket s : open) {
+                s.close();
+            }
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void thread(Work work) {
+        Thread t = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // The other side has gone: so does this one.
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    /** How a pod answers a query; false ends the connection. */
+    private interface Answers {
+        boolean to(String query, DataOutputStream out) throws Exception;
+    }
+
+    private final List<Closeable> all = new ArrayList<>();
+    private final List<Listener> pods = new ArrayList<>();
+    private final List<String> extraLines = new CopyOnWriteArrayList<>();
+    private final Listener discovery = new Listener(this::discover);
+    private final Listener platform = new Listener(this::stage);
+    private volatile String ballotAnswer = "OK 1 2 live 1 5000";
+    private volatile String progress = "* progress 1 2 live 1 5000";
+    private Process process;
+    private int port;
+    @TempDir
+    Path folder;
+
+    SocketsTest() throws IOException { }
+
+    @AfterEach
+    void end() throws Exception {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+        for (Closeable c : all) {
+            c.close();
+        }
+    }
+
+    private Listener pod(Answers answers) throws IOException {
+        Listener[] self = new Listener[1];
+        self[0] = new Listener((in, out) -> {
+            in.skipBytes(in.readInt() - 4);
+            out.write(new byte[] {'R', 0, 0, 0, 8, 0, 0, 0, 0, 'S', 0, 0, 0, 8, 'a', 0, 'b', 0});
+            out.write(new byte[] {'Z', 0, 0, 0, 5, 'I'});
+            while (in.read() == 'Q') {
+                byte[] text = in.readNBytes(in.readInt() - 4);
+                String query = new String(text, 0, text.length - 1, StandardCharsets.UTF_8);
+                self[0].told.add(query);
+                if (!answers.to(query, out)) {
+                    return;
+                }
+            }
+        });
+        pods.add(self[0]);
+        return self[0];
+    }
+
+    private static byte[] message(char type, byte[]... parts) throws IOException {
+        var body = new ByteArrayOutputStream();
+        for (byte[] p : parts) {
+            body.write(p);
+        }
+        var out = new ByteArrayOutputStream();
+        var data = new DataOutputStream(out);
+        data.writeByte(type);
+        data.writeInt(4 + body.size());
+        data.write(body.toByteArray());
+        return out.toByteArray();
+    }
+
+    private static final byte[] ROW = {0, 1, 'p', 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, -1, -1, -1, -1, -1, -1, 0, 1};
+
+    /** Row, CommandComplete, ReadyForQuery. */
+    private static byte[] served(byte[] value) throws IOException {
+        byte[] head = {0, 1, 0, (byte) (value.length >> 16), (byte) (value.length >> 8), (byte) value.length};
+        var out = new ByteArrayOutputStream();
+        out.write(message('T', ROW));
+        out.write(message('D', head, value));
+        out.write(message('C', "SELECT 1\0".getBytes(StandardCharsets.US_ASCII)));
+        out.write(message('Z', new byte[] {'I'}));
+        return out.toByteArray();
+    }
+
+    private static boolean give(DataOutputStream out, String value) throws IOException {
+        out.write(served(value.getBytes(StandardCharsets.UTF_8)));
+        return true;
+    }
+
+    private static boolean refuse(DataOutputStream out, String code) throws IOException {
+        out.write(message('E', ("SERROR\0C" + code + "\0Mno\0\0").getBytes(StandardCharsets.US_ASCII)));
+        out.write(message('Z', new byte[] {'I'}));
+        return true;
+    }
+
+    private void discover(DataInputStream in, DataOutputStream out) throws Exception {
+        discovery.told.add(line(in));
+        while (!line(in).isEmpty()) { }
+        out.writeBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        int said = 0;
+        while (true) {
+            String text = said < extraLines.size() ? extraLines.get(said++) + "\n" : "\n";
+            // In two chunks: a line may be split anywhere.
+            for (String part : List.of(text.substring(0, text.length() / 2), text.substring(text.length() / 2))) {
+                out.writeBytes(part.isEmpty() ? ""
+                        : Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+            }
+            Thread.sleep(50);
+        }
+    }
+
+    private void stage(DataInputStream in, DataOutputStream out) throws Exception {
+        String says = line(in);
+        platform.told.add(says);
+        out.writeBytes((says.equals("NOTIFY") ? "OK\r\n" + progress : ballotAnswer) + "\r\n");
+        while (says.equals("NOTIFY")) {
+            Thread.sleep(100);
+            out.writeBytes("*\r\n");
+        }
+    }
+
+    private static String line(DataInputStream in) throws IOException {
+        var text = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                throw new EOFException();
+            }
+            text.append((char) c);
+        }
+        return text.toString().trim();
+    }
+
+    private String entry(int i, int build, String state) {
+        return String.format("{\"instanceId\":\"p%d\",\"hostPort\":\"%s\",\"zone\":\"%s\",\"machineType\":\"m\","
+                + "\"cell\":0,\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":0,\"build\":%d}", i,
+                pods.get(i).address(), i % 2 == 0 ? "a" : "b", state, build);
+    }
+
+    private String list(long version, boolean whole, String... entries) {
+        return "{\"generation\":" + version + ",\"reset\":" + whole + ",\"instances\":["
+                + String.join(",", entries) + "]}";
+    }
+
+    private static String route(String name, String repeat) {
+        return "{\"name\":\"" + name + "\",\"aimNs\":500000000,\"deadlineNs\":1500000000,\"worth\":1.0,\"repeat\":\""
+                + repeat + "\",\"keyScope\":\"zone\",\"windowNs\":400000000,\"lateWorth\":0.2}";
+    }
+
+    static String config(String listen, String discovery, String platform, String known, int sockets) {
+        return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},"
+                + "\"release_api\":{\"address\":\"" + platform + "\",\"news\":{\"build\":1,\"stage\":2,"
+                + "\"phase\":\"live\",\"cap\":1.0,\"age_ms\":9000}},\"known\":" + known + ",\"settings\":{"
+                + "\"rank\":0,\"balancers\":1,\"zone\":\"a\",\"zones\":[\"a\",\"b\"],\"discovery\":\"subscribe\","
+                + "\"stepNs\":5000000,\"grades\":[" + route("get", "safe") + "," + route("put", "keyed") + "],"
+                + "\"familyInfo\":{\"control\":\"majority\",\"ayesNeeded\":1,\"votesToRevert\":1,"
+                + "\"bakeNs\":200000000,\"voteStandsNs\":4000000000,\"voteWaitNs\":500000000,"
+                + "\"steps\":[0.1,0.5,1.0],\"mostShares\":[0.2,0.7,1.0],\"windowNs\":2000000000,\"uncounted\":2},"
+                + "\"contract\":{\"answerSlackNs\":20000000,\"stopSendingWithinNs\":250000000,\"coldShare\":0.3,"
+                + "\"warmAfterNs\":2000000000,\"fallMultiple\":3,\"fallNs\":1000000000,"
+                + "\"askWithinNs\":10000000000},\"policyLimits\":{\"maxAttempts\":4,\"cancel\":true,"
+                + "\"retryAfter\":true,\"maxRetryAfterNs\":1000000000,\"connectTimeoutNs\":250000000,"
+                + "\"connIdleNs\":1000000000}}}";
+    }
+
+    private void start() throws Exception {
+        start(256);
+    }
+
+    private void start(int sockets) throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        String[] entries = new String[pods.size()];
+        Arrays.setAll(entries, i -> entry(i, 1, "ready"));
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config("127.0.0.1:" + port, discovery.address(), platform.address(),
+                list(7, true, entries), sockets));
+        var b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx40m", "-XX:MaxDirectMemorySize=40m", "-cp",
+                System.getProperty("java.class.path"), "mulleinlever.cli.Main", "serve");
+        b.environment().put("LB_CONFIG", file.toString());
+        process = b.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        until(() -> {
+            try (Client c = new Client()) {
+                c.query("");
+                return c.next().equals("I");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    private static void until(BooleanSupplier holds) throws InterruptedException {
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "waited in vain");
+            Thread.sleep(10);
+        }
+    }
+
+    /** A client's connection; an answer reads as its type, a row with its value, an error with its code. */
+    private final class Client implements Closeable {
+        final Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        final DataInputStream in = new DataInputStream(socket.getInputStream());
+
+        Client() throws IOException {
+            this(true);
+        }
+
+        Client(boolean greets) throws IOException {
+            socket.setTcpNoDelay(true);
+            if (greets) {
+                socket.getOutputStream().write(hello());
+                while (!next().equals("Z")) { }
+            }
+        }
+
+        void query(String text) throws IOException {
+            socket.getOutputStream().write(queryBytes(text));
+        }
+
+        String next() throws IOException {
+            char type = (char) in.readUnsignedByte();
+            byte[] body = in.readNBytes(in.readInt() - 4);
+            String text = new String(body, StandardCharsets.UTF_8);
+            return switch (type) {
+                case 'D' -> "D" + text.substring(6);
+                case 'E' -> "E" + text.replaceAll("(?s).*\0C(.{5})\0.*", "$1")
+                        + (text.contains("\0D") ? " with advice" : "");
+                default -> String.valueOf(type);
+            };
+        }
+
+        /** The whole answer to one command. */
+        String answer() throws IOException {
+            var s = new StringBuilder();
+            for (String m = next(); !m.equals("Z"); m = next()) {
+                s.append(m);
+            }
+            return s.toString();
+        }
+
+        String ask(String text) throws IOException {
+            query(text);
+            return answer();
+        }
+
+        boolean ended() throws IOException {
+            try {
+                return in.read() < 0;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static byte[] hello() throws IOException {
+        byte[] words = "\0\3\0\0user\0web\0database\0orders\0\0".getBytes(StandardCharsets.US_ASCII);
+        var out = new ByteArrayOutputStream();
+        new DataOutputStream(out).writeInt(4 + words.length);
+        out.write(words);
+        return out.toByteArray();
+    }
+
+    private static byte[] queryBytes(String text) throws IOException {
+        return message('Q', (text + "\0").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private int ids;
+
+    private String get(String ref, int waitsMs) {
+        return String.format("SELECT payload FROM entries WHERE ref = '%s' /* id=%016x,c=get,t=acme,d=%d */", ref,
+                ++ids, waitsMs);
+    }
+
+    private String put(String value, int waitsMs) {
+        return String.format("INSERT INTO entries (ref, payload) VALUES ('7f', '%s') RETURNING payload"
+                + " /* id=%016x,c=put,t=acme,d=%d,k=5c0f */", value, ++ids, waitsMs);
+    }
+
+    @Test
+    void passesTheReqOnAndTheRowBack() throws Exception {
+        Listener pod = pod((q, out) -> give(out, "v"));
+        start();
+        try (Client c = new Client()) {
+            assertEquals("TDvC", c.ask(get("7f3a", 480)));
+            assertEquals("TDvC", c.ask(put("\\x9f", 480)));
+        }
+        String sent = pod.told.get(0);
+        assertEquals("SELECT payload FROM entries WHERE ref = '7f3a' /* id=0000000000000001,c=get,t=acme,d=N */",
+                sent.replaceAll("d=4[0-7]\\d ", "d=N "));
+        assertTrue(pod.told.get(1).matches(".*'\\\\x9f'.* /\\* id=0{15}2,c=put,t=acme,d=4[0-7]\\d,k=5c0f \\*/"));
+    }
+
+    @Test
+    void bytesMayBeSplitAndCommandsPipelined() throws Exception {
+        pod((q, out) -> {
+            Thread.sleep(q.contains("'a'") ? 150 : 0);
+            byte[] row = served(q.replaceAll(".*ref = '(.*?)'.*", "$1").getBytes(StandardCharsets.UTF_8));
+            for (int i = 0; i < row.length; i += 7) {
+                out.write(row, i, Math.min(7, row.length - i));
+            }
+            return true;
+        });
+        start();
+        try (Client c = new Client(false)) {
+            var bytes = new ByteArrayOutputStream();
+            bytes.write(new byte[] {0, 0, 0, 8, 4, -46, 22, 47});
+            bytes.write(hello());
+            bytes.write(queryBytes(get("a", 1000)));
+            bytes.write(queryBytes(" ; "));
+            bytes.write(queryBytes(get("b", 1000)));
+            for (byte b : bytes.toByteArray()) {
+                c.socket.getOutputStream().write(b);
+            }
+            assertEquals('N', c.in.read());
+            c.answer();
+            assertEquals("TDaC", c.answer());
+            assertEquals("I", c.answer());
+            assertEquals("TDbC", c.answer());
+        }
+    }
+
+    @Test
+    void valuesOf64KiBPassBothWays() throws Exception {
+        String large = "x".repeat(64 * 1024);
+        Listener pod = pod((q, out) -> give(out, large));
+        start();
+        try (Client c = new Client()) {
+            String hex = "\\x" + "9f".repeat(64 * 1024);
+            assertEquals("TD" + large + "C", c.ask(put(hex, 1000)));
+            assertTrue(pod.told.get(0).contains(hex));
+        }
+    }
+
+    @Test
+    void aRowCutShortNeverReachesTheClient() throws Exception {
+        Answers cut = (q, out) -> {
+            byte[] row = served("broken".getBytes(StandardCharsets.UTF_8));
+            out.write(row, 0, row.length - 25);
+            return false;
+        };
+        pod(cut);
+        pod((q, out) -> give(out, "whole"));
+        start();
+        try (Client c = new Client()) {
+            for (int i = 0; i < 10; i++) {
+                assertEquals("TDwholeC", c.ask(get("1", 1000)));
+            }
+        }
+        assertFalse(pods.get(0).told.isEmpty());
+    }
+
+    @Test
+    void shedOnlyWhereARepeatIsHarmless() throws Exception {
+        boolean[] dies = {false};
+        pod((q, out) -> !dies[0] && refuse(out, "53300"));
+        start();
+        try (Client c = new Client()) {
+            assertEquals("E53300 with advice", c.ask(put("1", 800)));
+            dies[0] = true;
+            // It may have run, and its repeat might go where that is not known.
+            assertEquals("EXX000", c.ask(put("1", 800)));
+        }
+    }
+
+    @Test
+    void hungPodsCostATimeLimitNoMore() throws Exception {
+        Listener hung = pod((q, out) -> {
+            Thread.sleep(30_000);
+            return false;
+        });
+        start();
+        try (Client c = new Client()) {
+            long from = System.nanoTime();
+            assertTrue(c.ask(get("1", 700)).startsWith("E"));
+            long tookMs = (System.nanoTime() - from) / 1_000_000;
+            assertTrue(tookMs < 750, "took " + tookMs);
+        }
+        assertFalse(hung.told.isEmpty());
+    }
+
+    @Test
+    void oneWhoLeavesTakesTheTryAlong() throws Exception {
+        Listener pod = pod((q, out) -> {
+            // Until the other side ends the connection.
+            for (int i = 0; i < 300; i++) {
+                Thread.sleep(20);
+                out.write(message('N', new byte[1]));
+            }
+            return false;
+        });
+        start();
+        try (Client c = new Client()) {
+            c.query(get("1", 1400));
+            until(() -> pod.told.size() == 1);
+        }
+        long from = System.nanoTime();
+        until(() -> pod.ended == 1);
+        assertTrue(System.nanoTime() - from < 1_000_000_000L);
+    }
+
+    @Test
+    void malformedInputCostsItsConnectionOnly() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start();
+        try (Client good = new Client(); Client bad = new Client(); Client worse = new Client(false);
+                Client odd = new Client()) {
+            bad.socket.getOutputStream().write(new byte[] {'Q', 127, 0, 0, 0, 1});
+            assertEquals("E08P01", bad.next());
+            assertTrue(bad.ended());
+            worse.socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertEquals("E08P01", worse.next());
+            odd.socket.getOutputStream().write(message('P', new byte[3]));
+            assertEquals("E08P01", odd.next());
+            for (String text : List.of("SELECT 1", "SELECT 1 /* id=1,c=none,d=5 */", "SELECT 1 /* id=1,c=get,d=x */",
+                    "SELECT 1 /* c=get,d=5 */", "/*", "*/", "SELECT 1 /* id=1,c=get,d=5 */ ; SELECT 2")) {
+                assertEquals("E42601", good.ask(text), text);
+            }
+            assertEquals("TDvC", good.ask(get("1", 800)));
+        }
+        assertEquals(1, pods.get(0).told.size());
+    }
+
+    @Test
+    void idleConnectionsToPodsGoBeforeTheirTime() throws Exception {
+        Listener pod = pod((q, out) -> give(out, "v"));
+        start();
+        try (Client c = new Client()) {
+            assertEquals("TDvC", c.ask(get("1", 800)));
+            assertEquals("TDvC", c.ask(get("1", 800)));
+            assertEquals(1, pod.open.size());
+            until(() -> pod.ended == 1);
+            assertEquals("TDvC", c.ask(get("1", 800)));
+        }
+    }
+
+    @Test
+    void whatIsLostIsAskedForAgain() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start();
+        extraLines.add(list(41, false));
+        until(() -> platform.told.contains("NOTIFY") && discovery.told.size() == 1);
+        assertEquals("GET /discovery/hosts?stream=1&index=7 HTTP/1.1", discovery.told.get(0));
+        Thread.sleep(300);
+        for (Listener l : List.of(platform, discovery)) {
+            for (Socket s : l.open) {
+                s.close();
+            }
+        }
+        until(() -> platform.told.equals(List.of("NOTIFY", "NOTIFY")) && discovery.told.size() == 2);
+        assertEquals("GET /discovery/hosts?stream=1&index=41 HTTP/1.1", discovery.told.get(1));
+    }
+
+    @Test
+    void nothingGoesToAPodThatDrains() throws Exception {
+        Listener leaving = pod((q, out) -> give(out, "v"));
+        Listener staying = pod((q, out) -> give(out, "v"));
+        start();
+        try (Client c = new Client()) {
+            for (int i = 0; i < 20; i++) {
+                c.ask(get("1", 800));
+            }
+            assertFalse(leaving.told.isEmpty());
+            extraLines.add(list(8, false, entry(0, 1, "draining")));
+            until(() -> leaving.open.isEmpty());
+            int before = leaving.told.size();
+            for (int i = 0; i < 20; i++) {
+                assertEquals("TDvC", c.ask(get("1", 800)));
+            }
+            assertEquals(before, leaving.told.size());
+            assertFalse(staying.told.isEmpty());
+        }
+    }
+
+    @Test
+    void votesAreCastAndTheirAnswersHeard() throws Exception {
+        progress = "* progress 2 0 testing 0.2 100";
+        ballotAnswer = "OK 2 1 testing 0.7 0";
+        pod((q, out) -> give(out, "v"));
+        start();
+        until(() -> platform.told.contains("BALLOT 2 1 approve"));
+        assertTrue(platform.told.indexOf("BALLOT 2 0 approve") < platform.told.indexOf("BALLOT 2 1 approve"));
+    }
+
+    @Test
+    void toldToStopItAnswersAllAndLeaves() throws Exception {
+        pod((q, out) -> {
+            Thread.sleep(q.contains("'slow'") ? 900 : 0);
+            return give(out, "v");
+        });
+        start();
+        try (Client idle = new Client(); Client slow = new Client()) {
+            slow.query(get("slow", 1400));
+            until(() -> pods.get(0).told.size() == 1);
+            process.destroy();
+            Thread.sleep(150);
+            try (Client late = new Client()) {
+                assertEquals("TDvC", late.ask(get("1", 800)));
+            }
+            assertTrue(idle.ended());
+            assertEquals("TDvC", slow.answer());
+            assertTrue(slow.ended());
+        }
+        assertTrue(process.waitFor(2, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void descriptorsStayBoundedAndNewClientsAreServed() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start(64);
+        List<Client> held = new ArrayList<>();
+        for (int i = 0; i < 80; i++) {
+            Client c = new Client();
+            held.add(c);
+            assertEquals("TDvC", c.ask(get("1", 800)));
+        }
+        assertTrue(held.get(0).ended());
+        try (var files = Files.list(Path.of("/proc", String.valueOf(process.pid()), "fd"))) {
+            assertTrue(files.count() < 64);
+        }
+        for (Client c : held) {
+            c.close();
+        }
+    }
+}
