--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# What to build, test, check and run; `make` alone builds.
+BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
+RUN := $(shell sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
+
+.PHONY: build test lint run classes clean
+
+build:
+	$(BUILD)
+
+test:
+	mvn -B -ntp test
+
+# The compiler's own warnings, as faults.
+lint:
+	mvn -q -B -ntp clean test-compile -Dmaven.compiler.failOnWarning=true -Dmaven.compiler.showWarnings=true
+
+# One sidecar, with the configuration that LB_CONFIG names.
+run: build
+	$(RUN)
+
+# Anew after a change of libraries: the classes that start-up loads, which the build puts into a shared archive.
+classes:
+	mvn -q -B -ntp -DskipTests package
+	mvn -q -B -ntp test -Dtest='SocketsTest#toldToStopItAnswersAllAndLeaves' \
+	    -Dsidecar.classpath=target/mulleinlever.jar \
+	    -Dsidecar.flags="-XX:+UseSerialGC -XX:DumpLoadedClassList=deploy/classes.lst"
+
+clean:
+	mvn -q -B -ntp clean
--- a/src/main/java/mulleinlever/sidecar/Clock.java
+++ b/src/main/java/mulleinlever/sidecar/Clock.java
@@ -3,8 +3,8 @@
 import java.time.Instant;
 
 /**
- * The one place where Unix time meets the steady clock: it is read once, at the start, so that a wall clock set
- * back or forth later moves no time limit. Nanoseconds since 1970 keep the start of every pod above 0.
+ * The one place where Unix time meets the steady clock: it is read once, at the start, so that a wall clock
+ * set back or forth later moves no time limit. Nanoseconds since 1970 keep the start of every pod above 0.
  */
 final class Clock {
     private final long aheadNs;
--- a/src/main/java/mulleinlever/sidecar/Config.java
+++ b/src/main/java/mulleinlever/sidecar/Config.java
@@ -10,8 +10,8 @@
 import mulleinlever.drill.SettingsFields;
 
 /**
- * What one sidecar is told at its start: read, checked and given defaults here and nowhere else. A fault names
- * the key. The environment's values count where the file lacks one.
+ * What one sidecar is told at its start: read, checked and given defaults here and nowhere else. A fault
+ * names the key. The environment's values count where the file lacks one.
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress platform,
         long seed, int sockets, PodList known, News news, Settings settings) {
--- a/src/main/java/mulleinlever/sidecar/Frames.java
+++ b/src/main/java/mulleinlever/sidecar/Frames.java
@@ -4,8 +4,8 @@
 import io.netty.buffer.ByteBufAllocator;
 
 /**
- * Cuts a peer's bytes, however they were split, into PostgreSQL's messages. A message is read in place; a part
- * of it that must outlive the next read is taken with {@link #keep}.
+ * Cuts a peer's bytes, however they were split, into PostgreSQL's messages. A message is read in place; a
+ * part of it that must outlive the next read is taken with {@link #keep}.
  */
 final class Frames {
     /** A value of 64 KiB written as hex takes twice that; no honest message is longer than this. */
--- a/src/main/java/mulleinlever/sidecar/Log.java
+++ b/src/main/java/mulleinlever/sidecar/Log.java
@@ -3,7 +3,7 @@
 import java.io.PrintStream;
 import java.util.Locale;
 
-/** One line a thing worth telling; no more than so many a second, since a flood would stall the event loop. */
+/** A line for each thing worth telling; so many a second at most, since a flood would stall the event loop. */
 final class Log {
     private static final int MOST_A_SECOND = 20;
 
--- a/src/main/java/mulleinlever/sidecar/Net.java
+++ b/src/main/java/mulleinlever/sidecar/Net.java
@@ -29,7 +29,9 @@
     private static final int CHUNK_ORDER = 5;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final ByteBufAllocator alloc = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER);
+    private final ByteBufAllocator alloc = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
+            PooledByteBufAllocator.defaultSmallCacheSize(), PooledByteBufAllocator.defaultNormalCacheSize(),
+            false);
     private final EventLoop loop = group.next();
     private final Log log;
 
@@ -64,7 +66,7 @@
     ChannelFuture connect(InetSocketAddress to, long withinNs, ChannelHandler handler) {
         return new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(handler)
                 .option(ChannelOption.ALLOCATOR, alloc)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, 32_768))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, reads())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, withinNs / 1_000_000))
                 .connect(to);
@@ -75,7 +77,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, alloc)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, 32_768))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, reads())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -86,6 +88,10 @@
                 .bind(at);
     }
 
+    private static AdaptiveRecvByteBufAllocator reads() {
+        return new AdaptiveRecvByteBufAllocator(512, 1024, 32_768);
+    }
+
     void close() {
         group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/mulleinlever/sidecar/Relay.java
+++ b/src/main/java/mulleinlever/sidecar/Relay.java
@@ -6,8 +6,8 @@
 import mulleinlever.Ending;
 
 /**
- * Fifth stage: what a pod answers. A row is passed on as the pod gave it, and only once it is whole: a pod that
- * dies within one costs a try, not an answer.
+ * Fifth stage: what a pod answers. A row is passed on as the pod gave it, and only once it is whole: a pod
+ * that dies within one costs a try, not an answer.
  */
 final class Relay {
     private final Book book;
--- a/src/main/java/mulleinlever/sidecar/Replies.java
+++ b/src/main/java/mulleinlever/sidecar/Replies.java
@@ -20,7 +20,8 @@
     private Replies() { }
 
     private static ByteBuf fixed(byte[] bytes) {
-        return Unpooled.unreleasableBuffer(Unpooled.directBuffer(bytes.length).writeBytes(bytes)).asReadOnly();
+        ByteBuf all = Unpooled.directBuffer(bytes.length).writeBytes(bytes);
+        return Unpooled.unreleasableBuffer(all).asReadOnly();
     }
 
     /** AuthenticationOk, no password being asked for; the settings that client libraries insist on; ready. */
--- a/src/main/java/mulleinlever/sidecar/Send.java
+++ b/src/main/java/mulleinlever/sidecar/Send.java
@@ -60,7 +60,7 @@
         }
     }
 
-    /** The text goes on as it was read, but for the time that is left: a new head, then the parts around it. */
+    /** The text goes on as it was read but for the time that is left: a new head, then the parts around it. */
     void write(Upstream t, PodLink link) {
         t.link = link;
         link.carry(t);
--- a/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/src/main/java/mulleinlever/sidecar/Serve.java
@@ -98,9 +98,11 @@
         });
         lastNs = clock.now();
         net.every(WATCH_NS, this::watchLoop);
-        net.listen(config.listen(), () -> new TakeIn(admit, clients, flow, book, clock, log)).addListener(f -> {
+        ChannelFuture listening = net.listen(config.listen(),
+                () -> new TakeIn(admit, clients, flow, book, clock, log));
+        listening.addListener(f -> {
             if (f.isSuccess()) {
-                clients.listensAt(((ChannelFuture) f).channel());
+                clients.listensAt(listening.channel());
                 life.enter(Life.Phase.SERVING);
             } else {
                 log.say("life", "can't listen at " + config.listen() + ": " + f.cause());
@@ -142,7 +144,8 @@
     private void finish() {
         life.enter(Life.Phase.FINISHING);
         clients.finish();
-        long longest = config.settings().routes().stream().mapToLong(Settings.Route::timeoutNs).max().orElse(0);
+        long longest = config.settings().routes().stream().mapToLong(Settings.Route::timeoutNs).max()
+                .orElse(0);
         net.after(longest + SLACK_NS, this::end);
         net.every(10 * MS, () -> {
             if (clients.count() == 0) {
--- a/src/main/java/mulleinlever/sidecar/Statement.java
+++ b/src/main/java/mulleinlever/sidecar/Statement.java
@@ -105,7 +105,7 @@
         return text.getByte(text.readerIndex()) == 'I' || text.getByte(text.readerIndex()) == 'i';
     }
 
-    /** What the req is about: the row it names by up to 16 hex digits between quotes; -1 where it names none. */
+    /** What the req is about: the row named by up to 16 hex digits between quotes; -1 where there is none. */
     long key() {
         int from = text.indexOf(text.readerIndex(), text.writerIndex(), (byte) '\'') + 1;
         long key = 0;
--- a/src/test/java/mulleinlever/sidecar/SocketsTest.java
+++ b/src/test/java/mulleinlever/sidecar/SocketsTest.java
@@ -27,7 +27,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Starts the program and speaks to it over sockets, between stand-ins for pods, discovery and the platform. */
+/** Starts the program and speaks to it over sockets, among stand-ins for pods, discovery and the platform. */
 @Timeout(60)
 class SocketsTest {
     /** What serves one connection of a stand-in. */
@@ -152,7 +152,8 @@
         return out.toByteArray();
     }
 
-    private static final byte[] ROW = {0, 1, 'p', 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, -1, -1, -1, -1, -1, -1, 0, 1};
+    private static final byte[] ROW =
+            {0, 1, 'p', 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, -1, -1, -1, -1, -1, -1, 0, 1};
 
     /** Row, CommandComplete, ReadyForQuery. */
     private static byte[] served(byte[] value) throws IOException {
@@ -184,7 +185,8 @@
         while (true) {
             String text = said < extraLines.size() ? extraLines.get(said++) + "\n" : "\n";
             // In two chunks: a line may be split anywhere.
-            for (String part : List.of(text.substring(0, text.length() / 2), text.substring(text.length() / 2))) {
+            int half = text.length() / 2;
+            for (String part : List.of(text.substring(0, half), text.substring(half))) {
                 out.writeBytes(part.isEmpty() ? ""
                         : Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
             }
@@ -259,9 +261,14 @@
         Path file = folder.resolve("config.json");
         Files.writeString(file, config("127.0.0.1:" + port, discovery.address(), platform.address(),
                 list(7, true, entries), sockets));
-        var b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx40m", "-XX:MaxDirectMemorySize=40m", "-cp",
-                System.getProperty("java.class.path"), "mulleinlever.cli.Main", "serve");
+        // From another class path and with other flags, where these properties are set.
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("sidecar.classpath", System.getProperty("java.class.path"))));
+        String flags = System.getProperty("sidecar.flags", "-Xmx40m -XX:MaxDirectMemorySize=40m");
+        command.addAll(List.of(flags.split(" ")));
+        command.addAll(List.of("mulleinlever.cli.Main", "serve"));
+        var b = new ProcessBuilder(command);
         b.environment().put("LB_CONFIG", file.toString());
         process = b.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
         until(() -> {
@@ -498,7 +505,7 @@
             bad.socket.getOutputStream().write(new byte[] {'Q', 127, 0, 0, 0, 1});
             assertEquals("E08P01", bad.next());
             assertTrue(bad.ended());
-            worse.socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            worse.socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes());
             assertEquals("E08P01", worse.next());
             odd.socket.getOutputStream().write(message('P', new byte[3]));
             assertEquals("E08P01", odd.next());
