--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	mvn -q -B -ntp -DskipTests package
 	mvn -q -B -ntp test -Dtest='SocketsTest#toldToStopItAnswersAllAndLeaves' \
 	    -Dsidecar.classpath=target/mulleinlever.jar \
-	    -Dsidecar.flags="-XX:+UseSerialGC -XX:DumpLoadedClassList=deploy/classes.lst"
+	    -Dsidecar.flags="-XX:+UseSerialGC -Dio.netty.jfr.enabled=false -XX:DumpLoadedClassList=deploy/classes.lst"
 
 clean:
 	mvn -q -B -ntp clean
