Clients that send half a message or take no answers can't use up the memory of the others

Seen by probe: 300 connections that each send 150 KiB of a longer message take more than all direct memory (40 MiB), and reads of honest clients failed; the bound counted only what had come, not what was set aside for it, and paused all. The slowest such client now goes.

--- a/src/main/java/mulleinlever/sidecar/Clients.java
+++ b/src/main/java/mulleinlever/sidecar/Clients.java
@@ -8,10 +8,13 @@
 
 /** The clients' connections: how many there may be, and which have been silent for too long. */
 final class Clients {
+    private static final long MOST_OWED = 8L << 20;
+
     private final int most;
     private final Life life;
     private final Set<TakeIn> all = new LinkedHashSet<>();
     private Channel listener;
+    private long owed;
 
     Clients(int most, Life life) {
         this.most = most;
@@ -45,6 +48,18 @@
         }
     }
 
+    /**
+     * Peers that send half a message or take no answers hold memory for as long as they like. Past the most,
+     * the one that has not moved for longest goes; all others are served as ever.
+     */
+    void owed(int more) {
+        owed += more;
+        if (more > 0 && owed > MOST_OWED) {
+            all.stream().filter(TakeIn::owes).min(Comparator.comparingLong(TakeIn::movedNs))
+                    .ifPresent(TakeIn::drop);
+        }
+    }
+
     void sweep(long now) {
         new ArrayList<>(all).forEach(c -> c.closeIfStuck(now));
     }
--- a/src/main/java/mulleinlever/sidecar/Frames.java
+++ b/src/main/java/mulleinlever/sidecar/Frames.java
@@ -70,6 +70,11 @@
         return pending() > 0;
     }
 
+    /** What the message half read takes, which is more than has come of it. */
+    int taken() {
+        return partial() ? bytes.capacity() : 0;
+    }
+
     /** Bytes read that belong to no whole message yet, or to one not yet asked for. */
     int pending() {
         return bytes == null ? 0 : bytes.readableBytes();
--- a/src/main/java/mulleinlever/sidecar/TakeIn.java
+++ b/src/main/java/mulleinlever/sidecar/TakeIn.java
@@ -29,7 +29,9 @@
     private boolean started;
     private boolean closing;
     private long movedNs;
+    /** What waits for the client itself: the message it has half sent, the answers it has not taken. */
     private int halfRead;
+    private int untaken;
 
     TakeIn(Admit admit, Clients clients, Flow flow, Book book, Clock clock, Log log) {
         this.admit = admit;
@@ -71,13 +73,27 @@
         } catch (Fault e) {
             malformed(e.getMessage());
         }
-        count(frames.pending());
+        count(frames.taken());
         channel.config().setAutoRead(!closing && mayRead());
     }
 
-    private void count(int pending) {
-        flow.add(pending - halfRead);
-        halfRead = pending;
+    private void count(int taken) {
+        int more = taken - halfRead;
+        halfRead = taken;
+        clients.owed(more);
+    }
+
+    boolean owes() {
+        return halfRead + untaken > 0;
+    }
+
+    long movedNs() {
+        return movedNs;
+    }
+
+    void drop() {
+        closing = true;
+        channel.close();
     }
 
     private boolean mayRead() {
@@ -154,8 +170,9 @@
         while (!line.isEmpty() && line.peek().answer != null) {
             ByteBuf answer = line.poll().answer;
             int n = answer.readableBytes();
-            flow.add(n);
-            channel.write(answer).addListener(f -> flow.remove(n));
+            untaken += n;
+            channel.write(answer).addListener(f -> taken(n));
+            clients.owed(n);
             any = true;
         }
         if (!any) {
@@ -170,6 +187,11 @@
         }
     }
 
+    private void taken(int n) {
+        untaken -= n;
+        clients.owed(-n);
+    }
+
     private void close() {
         closing = true;
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -189,7 +211,7 @@
     void closeIfStuck(long now) {
         boolean stuck = !started || frames.partial() || !channel.isWritable();
         if (stuck && now - movedNs > STUCK_NS) {
-            channel.close();
+            drop();
         }
     }
 
--- a/src/test/java/mulleinlever/sidecar/SocketsTest.java
+++ b/src/test/java/mulleinlever/sidecar/SocketsTest.java
@@ -528,6 +528,31 @@
         assertEquals(1, pods.get(0).told.size());
     }
 
+    @Test
+    void thoseWhoSendHalfAMessageCostTheOthersNothing() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start(1024);
+        List<Client> all = new ArrayList<>();
+        byte[] half = Arrays.copyOf(queryBytes("x".repeat(180 * 1024)), 150 * 1024);
+        try (Client good = new Client()) {
+            // Together more than all the memory there is for buffers.
+            for (int i = 0; i < 300; i++) {
+                Client c = new Client();
+                all.add(c);
+                c.socket.getOutputStream().write(half);
+                if (i % 50 == 49) {
+                    assertEquals("TDvC", good.ask(get("1", 800)));
+                }
+            }
+            assertTrue(all.get(0).ended());
+            assertEquals("TDvC", good.ask(get("1", 800)));
+        }
+        assertFalse(Files.readString(folder.resolve("log")).contains("fault"));
+        for (Client c : all) {
+            c.close();
+        }
+    }
+
     @Test
     void idleConnectionsToPodsGoBeforeTheirTime() throws Exception {
         Listener pod = pod((q, out) -> give(out, "v"));
