--- a/src/main/java/mulleinlever/Pod.java
+++ b/src/main/java/mulleinlever/Pod.java
@@ -15,6 +15,7 @@
     final Mean late;
     double coldLeft;
     private long coldAtNs;
+    private long goneSinceNs;
 
     Pod(PodEntry is, long halfLifeNs) {
         this.id = is.id();
@@ -39,6 +40,13 @@
         return is.state() == PodEntry.State.READY;
     }
 
+    /** How long it has been gone with nothing left open, as far as it was asked; 0 while it is not. */
+    long goneFor(long nowNs) {
+        boolean gone = is.state() == PodEntry.State.GONE && open == 0;
+        goneSinceNs = gone && goneSinceNs > 0 ? goneSinceNs : nowNs;
+        return nowNs - goneSinceNs;
+    }
+
     /** What is saved up for a cold pod at a rate a second, up to a limit, from a random start below 1. */
     double saveCold(long nowNs, double rate, double most, SplittableRandom random) {
         coldLeft = coldAtNs == 0 ? random.nextDouble()
--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -12,8 +12,7 @@
 /**
  * Every decision of one sidecar: where a req goes, when it is tried again or given up, how the sidecar votes.
  * Whoever hosts it calls one method for each thing that happens, with the time; it acts only by calling the
- * {@link Host} it was handed. Host and the plain value types beside it are the whole interface.
- * docs/design.md explains the mechanism and when each exception to it acts.
+ * {@link Host} it was handed. docs/design.md explains the mechanism and when each exception to it acts.
  */
 public final class Policy {
     private static final long MS = 1_000_000L;
@@ -62,6 +61,8 @@
     /** Share of new connections refused above which only pods that were heard lately are used. */
     private static final double SCARCE = 0.25;
     private static final double PANIC_PART = 0.5;
+    /** Long past any report on it: pods that came and went would else pile up with each release. */
+    private static final long FORGET_AFTER = 60 * SECOND;
     /** A pod that owes answers and gave none for so many mean times of the slowest route is silent. */
     private static final double SILENCE_MEANS = 4;
     /** Answers are wanted at this share of their latency objective; above it, fewer tries are let out. */
@@ -79,8 +80,7 @@
     /** What the earlier build keeps to compare with, and what a trial in doubt gets: less delays verdicts. */
     private static final double KEPT = 0.08;
     private static final double IN_DOUBT = 0.15;
-    /** Second copies go out while more than this share of tries is never answered; one waits for so many mean
-     * times of its route, and leaves that many for itself. */
+    /** Second copies: while this part of tries is never answered, after so many mean times, leaving so many. */
     private static final double LOST = 0.02;
     private static final double COPY_AFTER = 1.5;
     private static final double COPY_LEAVES = 2;
@@ -194,6 +194,7 @@
     }
 
     private void survey(long now) {
+        pods.values().removeIf(p -> p.goneFor(now) > FORGET_AFTER);
         whole = new Fleet(pods.values().stream().filter(Pod::ready).toList(), set.zone());
         onTrial = whole.only(p -> news.onTrial(p.is.build()));
         notOnTrial = whole.only(p -> !news.onTrial(p.is.build()));
@@ -746,9 +747,7 @@
                     askForList(now);
                 }
             }
-            default -> { }
         }
         serveLines(now);
     }
-
 }
--- a/src/main/java/mulleinlever/sidecar/Pods.java
+++ b/src/main/java/mulleinlever/sidecar/Pods.java
@@ -20,6 +20,8 @@
         InetSocketAddress address;
         final ArrayDeque<PodLink> idle = new ArrayDeque<>();
         final Set<PodLink> opening = new LinkedHashSet<>();
+        int links;
+        boolean gone;
     }
 
     private final Net net;
@@ -45,6 +47,7 @@
     void learn(PodList list) {
         for (PodEntry e : list.entries()) {
             Place place = places.computeIfAbsent(e.id(), id -> new Place());
+            place.gone = e.state() == PodEntry.State.GONE;
             InetSocketAddress now = Address.of(list.addresses().getOrDefault(e.id(), ""));
             if (now != null && !now.equals(place.address)) {
                 place.address = now;
@@ -67,6 +70,7 @@
             }
         }
         for (String id : leaving) {
+            places.get(id).gone |= list.whole() && !list.addresses().containsKey(id);
             closeIdle(places.get(id));
             new ArrayList<>(places.get(id).opening).forEach(PodLink::notUp);
         }
@@ -80,6 +84,9 @@
     /** The one used last: those not needed grow old and are closed. */
     PodLink idle(String pod) {
         Place place = places.get(pod);
+        if (place == null) {
+            return null;
+        }
         for (PodLink l = place.idle.pollLast(); l != null; l = place.idle.pollLast()) {
             if (l.usable() && clock.now() - l.idleSinceNs < idleNs) {
                 return l;
@@ -100,6 +107,7 @@
 
     void closed(PodLink link) {
         open--;
+        places.get(link.pod).links--;
         places.get(link.pod).idle.remove(link);
         places.get(link.pod).opening.remove(link);
     }
@@ -111,10 +119,11 @@
     /** Opens a connection for a try; false where none may be. */
     boolean open(Upstream t, Send send) {
         Place place = places.get(t.pod);
-        if (place.address == null || open >= most && !makeRoom()) {
+        if (place == null || place.address == null || open >= most && !makeRoom()) {
             return false;
         }
         open++;
+        place.links++;
         PodLink link = new PodLink(t.pod, place.address, this, relay, send, clock);
         t.link = link;
         link.awaits(t);
@@ -136,7 +145,9 @@
         return oldest != null;
     }
 
+    /** Pods that came and went would else pile up with each release. */
     void sweep(long now) {
+        places.values().removeIf(p -> p.gone && p.links == 0);
         for (Place p : places.values()) {
             while (!p.idle.isEmpty() && now - p.idle.peekFirst().idleSinceNs >= idleNs) {
                 p.idle.pollFirst().close();
--- a/src/test/java/mulleinlever/FailuresTest.java
+++ b/src/test/java/mulleinlever/FailuresTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -228,4 +229,30 @@
         var doubted = b.sent.subList(then, b.sent.size());
         assertTrue(doubted.stream().filter(s -> Bench.number(s.pod()) >= 8).count() < 0.4 * doubted.size());
     }
+
+    private static int podsKnown(Policy policy) throws ReflectiveOperationException {
+        var pods = Policy.class.getDeclaredField("pods");
+        pods.setAccessible(true);
+        return ((Map<?, ?>) pods.get(policy)).size();
+    }
+
+    @Test
+    void podsThatCameAndWentAreForgottenInTime() throws ReflectiveOperationException {
+        Bench b = Bench.plain().pods(2, 1);
+        Pod p = new Pod(Bench.pod(1, 1, 0).gone(), S);
+        assertEquals(0, p.goneFor(b.now));
+        p.open = 1;
+        assertEquals(0, p.goneFor(b.now + S));
+        p.open = 0;
+        assertEquals(2 * S, p.goneFor(b.now + 3 * S));
+        // The module goes through all pods it knows: a thousand gone ones must not stay among them.
+        for (int i = 10; i < 1010; i++) {
+            b.policy.listChanged(b.now, List.of(Bench.pod(i, 1, 0), Bench.pod(i, 1, 0).gone()));
+        }
+        assertEquals(1002, podsKnown(b.policy));
+        b.pass(50 * S);
+        assertEquals(1002, podsKnown(b.policy));
+        b.pass(20 * S);
+        assertEquals(2, podsKnown(b.policy));
+    }
 }
--- a/src/test/java/mulleinlever/sidecar/SocketsTest.java
+++ b/src/test/java/mulleinlever/sidecar/SocketsTest.java
@@ -18,6 +18,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -101,6 +102,7 @@
     private final List<String> extraLines = new CopyOnWriteArrayList<>();
     private final Listener discovery = new Listener(this::discover);
     private final Listener platform = new Listener(this::stage);
+    private volatile boolean silent;
     private volatile String ballotAnswer = "OK 1 2 live 1 5000";
     private volatile String progress = "* progress 1 2 live 1 5000";
     private Process process;
@@ -182,7 +184,7 @@
         while (!line(in).isEmpty()) { }
         out.writeBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         int said = 0;
-        while (true) {
+        while (!silent) {
             String text = said < extraLines.size() ? extraLines.get(said++) + "\n" : "\n";
             // In two chunks: a line may be split anywhere.
             int half = text.length() / 2;
@@ -192,6 +194,7 @@
             }
             Thread.sleep(50);
         }
+        Thread.sleep(30_000);
     }
 
     private void stage(DataInputStream in, DataOutputStream out) throws Exception {
@@ -200,7 +203,7 @@
         out.writeBytes((says.equals("NOTIFY") ? "OK\r\n" + progress : ballotAnswer) + "\r\n");
         while (says.equals("NOTIFY")) {
             Thread.sleep(100);
-            out.writeBytes("*\r\n");
+            out.writeBytes(silent ? "" : "*\r\n");
         }
     }
 
@@ -583,6 +586,20 @@
         assertEquals("GET /discovery/hosts?stream=1&index=41 HTTP/1.1", discovery.told.get(1));
     }
 
+    @Test
+    void whoFallsSilentIsAskedAnewAndReqsGoOn() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start();
+        until(() -> platform.told.contains("NOTIFY") && discovery.told.size() == 1);
+        silent = true;
+        // Each is asked on a new connection, while the old one stands and says nothing.
+        until(() -> platform.told.size() > 1 && discovery.told.size() > 1);
+        assertEquals(platform.told.size(), Collections.frequency(platform.told, "NOTIFY"));
+        try (Client c = new Client()) {
+            assertEquals("TDvC", c.ask(get("1", 800)));
+        }
+    }
+
     @Test
     void nothingGoesToAPodThatDrains() throws Exception {
         Listener leaving = pod((q, out) -> give(out, "v"));
