Faults on pods' connections are logged; a new client at the bound is not the one closed

Seen on reading again: PodLink.exceptionCaught dropped every cause unseen, a fault of the module's within an answer included; at the bound Clients.opened, with no other idle client, chose the one that had just come.

--- a/src/main/java/mulleinlever/sidecar/Clients.java
+++ b/src/main/java/mulleinlever/sidecar/Clients.java
@@ -36,7 +36,8 @@
     void opened(TakeIn client, long now) {
         all.add(client);
         if (all.size() >= most) {
-            all.stream().filter(c -> c.idleNs(now) >= 0).max(Comparator.comparingLong(c -> c.idleNs(now)))
+            all.stream().filter(c -> c != client && c.idleNs(now) >= 0)
+                    .max(Comparator.comparingLong(c -> c.idleNs(now)))
                     .ifPresentOrElse(TakeIn::closeIfIdle, () -> listener.config().setAutoRead(false));
         }
     }
--- a/src/main/java/mulleinlever/sidecar/PodLink.java
+++ b/src/main/java/mulleinlever/sidecar/PodLink.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import mulleinlever.Ending;
@@ -17,6 +18,7 @@
     private final Relay relay;
     private final Send send;
     private final Clock clock;
+    private final Log log;
     private Channel channel;
     private Frames frames;
     private Future<?> openLimit;
@@ -27,13 +29,15 @@
     final Relay.Answer answer = new Relay.Answer();
     long idleSinceNs;
 
-    PodLink(String pod, InetSocketAddress address, Pods pods, Relay relay, Send send, Clock clock) {
+    PodLink(String pod, InetSocketAddress address, Pods pods, Relay relay, Send send, Clock clock,
+            Log log) {
         this.pod = pod;
         this.address = address;
         this.pods = pods;
         this.relay = relay;
         this.send = send;
         this.clock = clock;
+        this.log = log;
     }
 
     Channel channel() {
@@ -168,6 +172,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            log.fault("pod " + pod, cause);
+        }
         lost();
     }
 }
--- a/src/main/java/mulleinlever/sidecar/Pods.java
+++ b/src/main/java/mulleinlever/sidecar/Pods.java
@@ -26,6 +26,7 @@
 
     private final Net net;
     private final Clock clock;
+    private final Log log;
     private final Relay relay;
     private final int most;
     private final long connectNs;
@@ -33,9 +34,10 @@
     private final Map<String, Place> places = new LinkedHashMap<>();
     private int open;
 
-    Pods(Net net, Clock clock, Relay relay, int most, Settings.Limits limits) {
+    Pods(Net net, Clock clock, Log log, Relay relay, int most, Settings.Limits limits) {
         this.net = net;
         this.clock = clock;
+        this.log = log;
         this.relay = relay;
         this.most = most;
         this.connectNs = limits.connectTimeoutNs() > 0 ? limits.connectTimeoutNs() : 1_000_000_000L;
@@ -124,7 +126,7 @@
         }
         open++;
         place.links++;
-        PodLink link = new PodLink(t.pod, place.address, this, relay, send, clock);
+        PodLink link = new PodLink(t.pod, place.address, this, relay, send, clock, log);
         t.link = link;
         link.awaits(t);
         place.opening.add(link);
--- a/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/src/main/java/mulleinlever/sidecar/Serve.java
@@ -45,7 +45,7 @@
         this.net = new Net(log);
         this.clients = new Clients((int) (CLIENTS_PART * config.sockets()), life);
         this.book = new Book(clock);
-        this.pods = new Pods(net, clock, new Relay(book), (int) (PODS_PART * config.sockets()),
+        this.pods = new Pods(net, clock, log, new Relay(book), (int) (PODS_PART * config.sockets()),
                 config.settings().limits());
     }
 
