--- a/src/test/java/mulleinlever/sidecar/SocketsTest.java
+++ b/src/test/java/mulleinlever/sidecar/SocketsTest.java
@@ -556,6 +556,20 @@
         }
     }
 
+    @Test
+    void whoIsSilentWithinAMessageIsClosedAndWhoIsIdleIsNot() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start();
+        try (Client mute = new Client(false); Client half = new Client(); Client idle = new Client()) {
+            half.socket.getOutputStream().write(queryBytes(get("1", 800)), 0, 30);
+            for (Client c : List.of(mute, half)) {
+                c.socket.setSoTimeout(20_000);
+                assertEquals(-1, c.in.read());
+            }
+            assertEquals("TDvC", idle.ask(get("1", 800)));
+        }
+    }
+
     @Test
     void idleConnectionsToPodsGoBeforeTheirTime() throws Exception {
         Listener pod = pod((q, out) -> give(out, "v"));
