One piece of code keeps our own line connections: discovery's watch and the platform's calls

Discovery.Watch and Platform.Call each had the connecting, the limit put off by what is heard, the flag against a second end and the first words to say. Lines has them now.

--- a/src/main/java/mulleinlever/sidecar/Chunked.java
+++ b/src/main/java/mulleinlever/sidecar/Chunked.java
@@ -13,8 +13,8 @@
     private boolean chunked;
     private int left;
 
-    Chunked(int longest, Log log, String about) {
-        super(longest, log, about);
+    Chunked(Net net, int longest, Log log, String about) {
+        super(net, longest, log, about);
     }
 
     /** The last chunk has come. */
--- a/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -1,12 +1,6 @@
 package mulleinlever.sidecar;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.Future;
 import mulleinlever.Policy;
 
 /** Watches the list of pods. When a watch ends the module is told, and asks again when it wants to. */
@@ -49,55 +43,29 @@
         pods.retire(list);
     }
 
-    /** Opens a watch in place of any before it. */
+    /** Opens a watch in place of any before it, of whose end the module, having asked anew, need not hear. */
     void watch() {
         if (watch != null) {
             watch.drop();
         }
         watch = new Watch();
-        watch.channel = open(watch);
-    }
-
-    private Channel open(Watch w) {
-        ChannelFuture f = net.connect(address, CONNECT_NS, w);
-        f.addListener(done -> {
-            if (!done.isSuccess()) {
-                w.ended();
-            }
-        });
-        return f.channel();
+        watch.open(address, CONNECT_NS, SILENT_NS);
     }
 
     private final class Watch extends Chunked {
-        Channel channel;
-        private Future<?> silence;
-        private boolean over;
-
         Watch() {
-            super(LONGEST, log, "discovery");
-            heard();
-        }
-
-        private void heard() {
-            if (silence != null) {
-                silence.cancel(false);
-            }
-            silence = net.after(SILENT_NS, this::ended);
+            super(net, LONGEST, log, "discovery");
         }
 
         @Override
-        void opened(ChannelHandlerContext ctx) {
-            String get = "GET /discovery/hosts?stream=1&index=" + version + " HTTP/1.1\r\nHost: "
+        String says() {
+            return "GET /discovery/hosts?stream=1&index=" + version + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\n\r\n";
-            ctx.writeAndFlush(Unpooled.copiedBuffer(get, StandardCharsets.US_ASCII));
         }
 
         @Override
         void line(String text) {
-            if (over) {
-                return;
-            }
-            heard();
+            limit(SILENT_NS);
             if (!text.isBlank()) {
                 take(PodList.read(new JsonFields("discovery: ", Json.read(text))));
             }
@@ -108,20 +76,10 @@
             ended();
         }
 
-        /** Without a word to the module: it has asked anew itself. */
-        void drop() {
-            over = true;
-            silence.cancel(false);
-            channel.close();
-        }
-
         @Override
-        void ended() {
-            if (!over) {
-                drop();
-                log.say("discovery", "the watch has ended");
-                policy.listFailed(clock.now());
-            }
+        void end() {
+            log.say("discovery", "the watch has ended");
+            policy.listFailed(clock.now());
         }
     }
 }
--- a/src/main/java/mulleinlever/sidecar/Platform.java
+++ b/src/main/java/mulleinlever/sidecar/Platform.java
@@ -1,14 +1,8 @@
 package mulleinlever.sidecar;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.Future;
 import mulleinlever.News;
 import mulleinlever.Policy;
 import mulleinlever.Verdict;
@@ -86,7 +80,7 @@
     }
 
     void listen() {
-        open(new Listener(), CONNECT_NS);
+        new Listener().open(address, CONNECT_NS, SILENT_NS);
     }
 
     void vote(int build, int stage, Verdict verdict) {
@@ -96,66 +90,32 @@
             case HOLD -> "wait";
             case BACK -> "reject";
         };
-        open(new Vote("BALLOT " + build + " " + stage + " " + word), Math.min(CONNECT_NS, voteWaitNs));
+        new Vote("BALLOT " + build + " " + stage + " " + word)
+                .open(address, Math.min(CONNECT_NS, voteWaitNs), voteWaitNs);
     }
 
-    private void open(Call call, long withinNs) {
-        ChannelFuture f = net.connect(address, withinNs, call);
-        call.channel = f.channel();
-        f.addListener(done -> {
-            if (!done.isSuccess()) {
-                call.ended();
-            }
-        });
-    }
+    private final class Vote extends Lines {
+        private final String ballot;
 
-    /** A connection that begins with one line of ours. */
-    private abstract class Call extends Lines {
-        Channel channel;
-        Future<?> limit;
-        boolean over;
-        private final String says;
-
-        Call(String says, long limitNs) {
-            super(LONGEST, log, "platform");
-            this.says = says;
-            limit = net.after(limitNs, this::ended);
+        Vote(String ballot) {
+            super(net, LONGEST, log, "platform");
+            this.ballot = ballot;
         }
 
         @Override
-        void opened(ChannelHandlerContext ctx) {
-            ctx.writeAndFlush(Unpooled.copiedBuffer(says + "\r\n", StandardCharsets.US_ASCII));
-        }
-
-        abstract void end();
-
-        @Override
-        final void ended() {
-            if (!over) {
-                over = true;
-                limit.cancel(false);
-                channel.close();
-                end();
-            }
-        }
-    }
-
-    private final class Vote extends Call {
-        Vote(String says) {
-            super(says, voteWaitNs);
+        String says() {
+            return ballot + "\r\n";
         }
 
         @Override
         void line(String text) {
-            if (over || text.startsWith("*")) {
+            if (text.startsWith("*")) {
                 return;
             }
             String[] words = text.split(" ");
             boolean counts = words[0].equals("OK") && words.length >= 6;
             News n = counts ? news(words, 1) : null;
-            over = true;
-            limit.cancel(false);
-            channel.close();
+            drop();
             policy.voteAnswered(clock.now(), counts);
             if (counts) {
                 tell(n);
@@ -171,18 +131,19 @@
         }
     }
 
-    private final class Listener extends Call {
+    private final class Listener extends Lines {
         Listener() {
-            super("NOTIFY", SILENT_NS);
+            super(net, LONGEST, log, "platform");
+        }
+
+        @Override
+        String says() {
+            return "NOTIFY\r\n";
         }
 
         @Override
         void line(String text) {
-            if (over) {
-                return;
-            }
-            limit.cancel(false);
-            limit = net.after(SILENT_NS, this::ended);
+            limit(SILENT_NS);
             String[] w = text.split(" ");
             long now = clock.now();
             switch (w.length > 1 && w[0].equals("*") ? w[1] : "") {
--- a/src/test/java/mulleinlever/sidecar/DecodersTest.java
+++ b/src/test/java/mulleinlever/sidecar/DecodersTest.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -225,9 +224,11 @@
 
     private static Chunked lines(List<String> got) {
         Log log = new Log(new PrintStream(OutputStream.nullOutputStream()), new Clock());
-        return new Chunked(100, log, "test") {
+        return new Chunked(null, 100, log, "test") {
             @Override
-            void opened(ChannelHandlerContext ctx) { }
+            String says() {
+                return "";
+            }
 
             @Override
             void line(String text) {
@@ -240,7 +241,7 @@
             }
 
             @Override
-            void ended() {
+            void end() {
                 got.add("ended");
             }
         };
