A try writes no empty buffer more, a flag that the book already keeps and a dead getter go

The listener that tells when the last byte is written hung on an extra empty write per try (Send.write); it hangs on the last part now. Held.released repeated that Book.settle removes a req but once; Life.phase() had no caller.

--- a/src/main/java/mulleinlever/sidecar/Book.java
+++ b/src/main/java/mulleinlever/sidecar/Book.java
@@ -76,7 +76,7 @@
     private void settle(Held held) {
         if (held.answered && !held.triesOut() && inHand.remove(held.statement.id, held)) {
             held.client.settled(held);
-            held.release();
+            held.statement.text.release();
         }
     }
 }
--- a/src/main/java/mulleinlever/sidecar/Held.java
+++ b/src/main/java/mulleinlever/sidecar/Held.java
@@ -16,7 +16,6 @@
     /** The answer, once there is one, waiting for those ahead of it on its connection. */
     ByteBuf answer;
     boolean answered;
-    private boolean released;
 
     Held(TakeIn client, Statement statement) {
         this.client = client;
@@ -30,11 +29,4 @@
     int bytes() {
         return statement.text.readableBytes() + OVERHEAD;
     }
-
-    void release() {
-        if (statement != null && !released) {
-            statement.text.release();
-        }
-        released = true;
-    }
 }
--- a/src/main/java/mulleinlever/sidecar/Life.java
+++ b/src/main/java/mulleinlever/sidecar/Life.java
@@ -22,10 +22,6 @@
         this.log = log;
     }
 
-    Phase phase() {
-        return phase;
-    }
-
     boolean is(Phase other) {
         return phase == other;
     }
--- a/src/main/java/mulleinlever/sidecar/Send.java
+++ b/src/main/java/mulleinlever/sidecar/Send.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import mulleinlever.Ending;
 
 /** Fourth stage: puts an upstream try on a connection to its pod, and abandons it. */
@@ -68,9 +69,10 @@
         Statement s = t.held.statement;
         ByteBuf text = s.text;
         long leftMs = Math.max(1, (t.untilNs - clock.now()) / 1_000_000);
+        ChannelFuture last;
         if (s.waitsMs < 0) {
             to.write(head(to, text.readableBytes()));
-            to.write(text.retainedDuplicate());
+            last = to.write(text.retainedDuplicate());
         } else {
             String left = Long.toString(leftMs);
             int from = text.readerIndex();
@@ -78,13 +80,10 @@
             to.write(head(to, text.readableBytes() - s.waitsLength + left.length()));
             to.write(text.retainedSlice(from, s.waitsAt - from));
             to.write(ByteBufUtil.writeAscii(to.alloc(), left));
-            to.write(text.retainedSlice(behind, text.writerIndex() - behind));
+            last = to.write(text.retainedSlice(behind, text.writerIndex() - behind));
         }
-        to.writeAndFlush(to.alloc().buffer(0)).addListener(f -> {
-            if (f.isSuccess()) {
-                t.written = true;
-            }
-        });
+        last.addListener(f -> t.written |= f.isSuccess());
+        to.flush();
     }
 
     private static ByteBuf head(Channel to, int length) {
