SIGHUP reads the configuration anew and moves to discovery and platform there

Ruled out: a crash of ours, the log ends without a fault.

Reload reads and checks the whole file on the signal's thread, then swaps discovery and release_api.address on the event loop; open clients, tries and votes go on, the list and news had so far stand, other keys that differ are named. A faulty or half-written file is named by its key and changes nothing. A listener for news that waits to be reopened is not opened beside the one at the new address, since tallies heard twice would count twice.

Test: toldToReloadItGoesOnWithTheNewAddresses; without the handler the process ends at the first signal.

--- a/src/main/java/mulleinlever/sidecar/Config.java
+++ b/src/main/java/mulleinlever/sidecar/Config.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Function;
 import mulleinlever.News;
 import mulleinlever.Settings;
 import mulleinlever.drill.SettingsFields;
@@ -18,6 +20,18 @@
     /** Taken where no limit is told: what a process may usually open. */
     private static final int SOCKETS = 1024;
     private static final int FEWEST_SOCKETS = 64;
+    /** What is taken at the start only, in the order of the keys. */
+    static final Map<String, Function<Config, Object>> KEPT = kept();
+
+    private static Map<String, Function<Config, Object>> kept() {
+        Map<String, Function<Config, Object>> all = new LinkedHashMap<>();
+        all.put("name", Config::name);
+        all.put("listen", Config::listen);
+        all.put("seed", Config::seed);
+        all.put("limits.sockets", Config::sockets);
+        all.put("settings", Config::settings);
+        return all;
+    }
 
     static Config load(Map<String, String> env) {
         String file = env.get("LB_CONFIG");
--- a/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -13,7 +13,7 @@
     private final Net net;
     private final Clock clock;
     private final Log log;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Pods pods;
     private Policy policy;
     private long version;
@@ -52,6 +52,14 @@
         watch.open(address, CONNECT_NS, SILENT_NS);
     }
 
+    /** The list had so far stands; what changed behind its version is told at the other address. */
+    void moved(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            watch();
+        }
+    }
+
     private final class Watch extends Chunked {
         Watch() {
             super(net, LONGEST, log, "discovery");
--- a/src/main/java/mulleinlever/sidecar/Platform.java
+++ b/src/main/java/mulleinlever/sidecar/Platform.java
@@ -26,11 +26,12 @@
     private final Net net;
     private final Clock clock;
     private final Log log;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final long voteWaitNs;
     private Policy policy;
     private News last;
     private long lastNs;
+    private Listener listener;
 
     Platform(Net net, Clock clock, Log log, InetSocketAddress address, long voteWaitNs) {
         this.net = net;
@@ -80,7 +81,17 @@
     }
 
     void listen() {
-        new Listener().open(address, CONNECT_NS, SILENT_NS);
+        listener = new Listener();
+        listener.open(address, CONNECT_NS, SILENT_NS);
+    }
+
+    /** Votes under way at the old address are still answered there, or end and may have counted. */
+    void moved(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            listener.drop();
+            listen();
+        }
     }
 
     void vote(int build, int stage, Verdict verdict) {
@@ -158,7 +169,12 @@
         @Override
         void end() {
             log.say("platform", "the news have ended");
-            net.after(RETRY_NS, Platform.this::listen);
+            net.after(RETRY_NS, () -> {
+                // Unless the platform has moved meanwhile: news heard twice would count twice.
+                if (listener == this) {
+                    listen();
+                }
+            });
         }
     }
 }
--- /dev/null
+++ b/src/main/java/mulleinlever/sidecar/Reload.java
@@ -0,0 +1,61 @@
+package mulleinlever.sidecar;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import sun.misc.Signal;
+
+/**
+ * At each SIGHUP the configuration is read anew: discovery and the platform may have moved. Left to itself
+ * the signal ends the process, and with it all that is in hand.
+ */
+final class Reload {
+    private final Map<String, String> env;
+    private final Net net;
+    private final Log log;
+    private final Discovery discovery;
+    private final Platform platform;
+    private Config at;
+
+    Reload(Map<String, String> env, Config at, Net net, Log log, Discovery discovery, Platform platform) {
+        this.env = env;
+        this.at = at;
+        this.net = net;
+        this.log = log;
+        this.discovery = discovery;
+        this.platform = platform;
+    }
+
+    void listen() {
+        Signal.handle(new Signal("HUP"), s -> heard());
+    }
+
+    /**
+     * On the signal's own thread, since a long list would hold up the loop; one at a time, so that the file
+     * read last is the one taken last. Whatever is wrong with the file, what was told before stands.
+     */
+    private synchronized void heard() {
+        Config next;
+        try {
+            next = Config.load(env);
+        } catch (RuntimeException e) {
+            log.say("reload", "nothing is changed: " + (e instanceof Fault ? e.getMessage() : e.toString()));
+            return;
+        }
+        net.soon(() -> take(next));
+    }
+
+    private void take(Config next) {
+        List<String> left = new ArrayList<>();
+        for (String key : Config.KEPT.keySet()) {
+            if (!Config.KEPT.get(key).apply(next).equals(Config.KEPT.get(key).apply(at))) {
+                left.add(key);
+            }
+        }
+        log.say("reload", "discovery at " + next.discovery() + ", platform at " + next.platform()
+                + (left.isEmpty() ? "" : "; a restart is needed for " + String.join(", ", left)));
+        discovery.moved(next.discovery());
+        platform.moved(next.platform());
+        at = next;
+    }
+}
--- a/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/src/main/java/mulleinlever/sidecar/Serve.java
@@ -24,6 +24,7 @@
     private static final long WATCH_NS = 50 * MS;
     private static final long LATE_NS = 50 * MS;
 
+    private final Map<String, String> env;
     private final Config config;
     private final Clock clock;
     private final Log log;
@@ -37,7 +38,8 @@
     private Admit admit;
     private long lastNs;
 
-    private Serve(Config config, Clock clock, Log log) {
+    private Serve(Map<String, String> env, Config config, Clock clock, Log log) {
+        this.env = env;
         this.config = config;
         this.clock = clock;
         this.log = log;
@@ -60,7 +62,7 @@
             log.say("config", e instanceof Fault ? e.getMessage() : e.toString());
             return 2;
         }
-        Serve serve = new Serve(config, clock, log);
+        Serve serve = new Serve(env, config, clock, log);
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
         AtomicInteger code = new AtomicInteger();
         serve.net.soon(() -> {
@@ -90,6 +92,7 @@
         discovery.take(config.known());
         policy.news(clock.now(), config.news());
         admit = new Admit(set, book, route);
+        new Reload(env, config, net, log, discovery, platform).listen();
         platform.listen();
         if (!set.listMustBeAsked()) {
             discovery.watch();
--- a/src/test/java/mulleinlever/sidecar/SocketsTest.java
+++ b/src/test/java/mulleinlever/sidecar/SocketsTest.java
@@ -100,8 +100,9 @@
     private final List<Closeable> all = new ArrayList<>();
     private final List<Listener> pods = new ArrayList<>();
     private final List<String> extraLines = new CopyOnWriteArrayList<>();
-    private final Listener discovery = new Listener(this::discover);
-    private final Listener platform = new Listener(this::stage);
+    // Which those are may change within a test, as it may for the program.
+    private volatile Listener discovery = new Listener(this::discover);
+    private volatile Listener platform = new Listener(this::stage);
     private volatile boolean silent;
     private volatile String ballotAnswer = "OK 1 2 live 1 5000";
     private volatile String progress = "* progress 1 2 live 1 5000";
@@ -255,15 +256,30 @@
         start(256);
     }
 
+    private Path configure(int sockets) throws IOException {
+        String[] entries = new String[pods.size()];
+        Arrays.setAll(entries, i -> entry(i, 1, "ready"));
+        return Files.writeString(folder.resolve("config.json"), config("127.0.0.1:" + port, discovery.address(),
+                platform.address(), list(7, true, entries), sockets));
+    }
+
+    private String logged() {
+        try {
+            return Files.readString(folder.resolve("log"));
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+    }
+
     private void start(int sockets) throws Exception {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
-        String[] entries = new String[pods.size()];
-        Arrays.setAll(entries, i -> entry(i, 1, "ready"));
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, config("127.0.0.1:" + port, discovery.address(), platform.address(),
-                list(7, true, entries), sockets));
+        Path file = configure(sockets);
         // From another class path and with other flags, where these properties are set.
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
@@ -550,7 +566,7 @@
             assertTrue(all.get(0).ended());
             assertEquals("TDvC", good.ask(get("1", 800)));
         }
-        assertFalse(Files.readString(folder.resolve("log")).contains("fault"));
+        assertFalse(logged().contains("fault"));
         for (Client c : all) {
             c.close();
         }
@@ -652,7 +668,7 @@
         pod((q, out) -> give(out, "v"));
         start();
         until(() -> platform.told.contains("BALLOT 2 1 approve"));
-        assertFalse(Files.readString(folder.resolve("log")).contains("build 2 stage 0"));
+        assertFalse(logged().contains("build 2 stage 0"));
     }
 
     @Test
@@ -678,6 +694,47 @@
         assertTrue(process.waitFor(2, TimeUnit.SECONDS));
     }
 
+    @Test
+    void toldToReloadItGoesOnWithTheNewAddresses() throws Exception {
+        pod((q, out) -> {
+            Thread.sleep(q.contains("'slow'") ? 1000 : 0);
+            return give(out, "v");
+        });
+        start();
+        until(() -> platform.told.contains("NOTIFY") && discovery.told.size() == 1);
+        Listener oldDiscovery = discovery;
+        Listener oldPlatform = platform;
+        discovery = new Listener(this::discover);
+        platform = new Listener(this::stage);
+        try (Client open = new Client()) {
+            open.query(get("slow", 1400));
+            until(() -> pods.get(0).told.size() == 1);
+            Files.writeString(configure(256), "{\"name\":\"n0\"");
+            hangUp();
+            until(() -> logged().contains("reload: nothing is changed: JSON: expected }"));
+            Path file = configure(256);
+            Files.writeString(file, Files.readString(file).replace("\"listen\":\"127", "\"listen\":\"x127"));
+            hangUp();
+            until(() -> logged().contains("reload: nothing is changed: configuration: listen needs"));
+            assertEquals(0, discovery.told.size() + platform.told.size());
+            configure(99);
+            hangUp();
+            hangUp();
+            until(() -> platform.told.contains("NOTIFY") && discovery.told.size() == 1);
+            assertEquals("GET /discovery/hosts?stream=1&index=7 HTTP/1.1", discovery.told.get(0));
+            until(() -> oldDiscovery.open.isEmpty() && oldPlatform.open.isEmpty());
+            oldDiscovery.close();
+            oldPlatform.close();
+            assertEquals("TDvC", open.answer());
+            assertTrue(logged().contains("; a restart is needed for limits.sockets"));
+            // What the new address tells is taken: the only pod leaves, so nothing is sent any more.
+            extraLines.add(list(8, false, entry(0, 1, "gone")));
+            until(() -> pods.get(0).open.isEmpty());
+            assertEquals("E53300 with advice", open.ask(get("1", 800)));
+        }
+        assertEquals(1, Collections.frequency(platform.told, "NOTIFY"));
+    }
+
     @Test
     void descriptorsStayBoundedAndNewClientsAreServed() throws Exception {
         pod((q, out) -> give(out, "v"));
