--- a/src/main/java/mulleinlever/sidecar/Reload.java
+++ b/src/main/java/mulleinlever/sidecar/Reload.java
@@ -1,9 +1,9 @@
 package mulleinlever.sidecar;
 
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import sun.misc.Signal;
 
 /**
  * At each SIGHUP the configuration is read anew: discovery and the platform may have moved. Left to itself
@@ -26,8 +26,21 @@
         this.platform = platform;
     }
 
+    /** Looked up by name: the JDK has no other way to a signal, and the compiler warns of any use of this. */
     void listen() {
-        Signal.handle(new Signal("HUP"), s -> heard());
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object ours = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, args) -> {
+                        heard();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), ours);
+        } catch (ReflectiveOperationException | IllegalArgumentException e) {
+            log.say("reload", "SIGHUP can't be heard here: " + e);
+        }
     }
 
     /**
