Failures and lateness are not judged after a release: nothing is left to compare with

Checked: probes of load, pods and ends of tries: from 14 s, a second before the release, one try in seven is never answered, on pods of both builds that go on answering others (516 tries timed out after their whole time, 22 others failed). Ruled out: the build (marked good; its pods' other answers are as quick as before), pauses (silences would show on single pods), the sidecar's own loop (not late then). At fault: Policy.compared, which judged for 10 s after a release against a mean from before the trial, with no earlier pod left whose lateness could be taken off.

Holds against any trouble that begins about when a build is released. It harms where a build turns bad only after that: reports of wrong answers still count, slowness and errors are left to the operators.

Test: whatSlowsTheFleetAfterAReleaseSendsNothingBack.

--- a/src/main/java/mulleinlever/Policy.java
+++ b/src/main/java/mulleinlever/Policy.java
@@ -615,7 +615,8 @@
         if (ofLate) {
             return side.late(now, place);
         }
-        double failed = side == earlier || compared(now) ? side.failed(now, place) : 0;
+        // After a release nothing is left to compare with: what fails or is late then may be the fleet's doing.
+        double failed = side == earlier || news.onTrial() ? side.failed(now, place) : 0;
         return Math.min(1, failed + wrong(now, side, place));
     }
 
@@ -625,11 +626,6 @@
         return flags == 0 ? 0 : flags / rollout.complaintShare() / Math.max(1, side.relayed(now, place));
     }
 
-    /** Long after a release nothing is left to compare with: what goes wrong then is not the build's. */
-    private boolean compared(long now) {
-        return news.onTrial() || now < stageSinceNs + PROOF_WAIT;
-    }
-
     private void judge(long now) {
         State worst = State.NORMAL;
         String why = "";
@@ -647,7 +643,7 @@
             double n = trial.seen(now, place, ofLate);
             double m = earlier.seen(now, place, ofLate);
             boolean enough = trial.ever(place, ofLate) >= OUTCOME_FLOOR && n >= 1 && m >= 1;
-            if (enough && (!ofLate || compared(now))) {
+            if (enough && (!ofLate || news.onTrial())) {
                 boolean sure = ofLate || trial.flags(now, place) > FEW_FLAGS
                         || trial.failed(now, place) >= wrong(now, trial, place);
                 // What it is compared with was seen in so many cases only: that widens the deviation too.
--- a/src/test/java/mulleinlever/FailuresTest.java
+++ b/src/test/java/mulleinlever/FailuresTest.java
@@ -71,6 +71,20 @@
         assertEquals(Verdict.ON, verdict((p, i) -> usual(i), (p, i) -> i % 5 == 0 ? 0 : usual(i)));
     }
 
+    @Test
+    void whatSlowsTheFleetAfterAReleaseSendsNothingBack() {
+        Bench b = Bench.plain().news(1, 2, News.Phase.RELEASED, 1);
+        serve(b, 8, (p, i) -> usual(i), fleet(b, 8, 0));
+        List<PodEntry> pods = fleet(b, 8, 4);
+        b.news(2, 2, News.Phase.ON_TRIAL, 1);
+        serve(b, 5, (p, i) -> usual(i), pods);
+        b.news(2, 2, News.Phase.RELEASED, 1);
+        pods = pods.subList(8, 12);
+        b.policy.listWhole(b.now, pods);
+        serve(b, 9, (p, i) -> 3 * usual(i), pods);
+        assertTrue(b.votes.stream().noneMatch(v -> v.verdict() == Verdict.BACK));
+    }
+
     @Test
     void twoMistakenReportsSendNothingBack() {
         Bench b = Bench.plain().news(1, 2, News.Phase.RELEASED, 1);
