--- a/src/main/java/mulleinlever/sidecar/PodLink.java
+++ b/src/main/java/mulleinlever/sidecar/PodLink.java
@@ -10,8 +10,14 @@
 import java.util.concurrent.Future;
 import mulleinlever.Ending;
 
-/** One connection to a pod: opening, then idle or carrying one try. */
+/** One connection to a pod: opening, then idle, resting or carrying one try. */
 final class PodLink extends ChannelInboundHandlerAdapter {
+    /**
+     * A pod in trouble sends an answer twice, the copy up to a millisecond behind: read after the next req was
+     * written, it would be taken for that one's answer.
+     */
+    private static final long REST_NS = 3_000_000L;
+
     final String pod;
     final InetSocketAddress address;
     private final Pods pods;
@@ -22,9 +28,12 @@
     private Channel channel;
     private Frames frames;
     private Future<?> openLimit;
-    /** The try that waits for this connection to open, or is carried by it. */
+    /** The try that waits for this connection to open or to have rested, or is carried by it. */
     private Upstream at;
     private boolean up;
+    private boolean carries;
+    /** Whether the pod has said so since the last try. */
+    private boolean ready;
     private boolean closed;
     final Relay.Answer answer = new Relay.Answer();
     long idleSinceNs;
@@ -50,9 +59,24 @@
 
     void carry(Upstream t) {
         at = t;
+        carries = true;
+        ready = false;
         answer.clear();
     }
 
+    /** How long it is not to be written to yet. */
+    long restNs(long now) {
+        return idleSinceNs + REST_NS - now;
+    }
+
+    /** After its rest the try is written, unless the connection is given up before. */
+    void rested(Upstream t) {
+        if (at == t && !carries && !closed) {
+            pods.opened(this);
+            send.write(t, this);
+        }
+    }
+
     void opening(ChannelFuture connecting, Future<?> limit) {
         channel = connecting.channel();
         openLimit = limit;
@@ -64,13 +88,13 @@
     }
 
     void notUp() {
-        if (!up) {
+        if (!carries) {
             lost();
         }
     }
 
     boolean usable() {
-        return up && !closed && channel.isActive() && at == null;
+        return ready && !closed && channel.isActive() && at == null;
     }
 
     /** Its try is no longer waited for: the connection must not carry another behind it. */
@@ -102,6 +126,17 @@
         }
     }
 
+    /** Something came that nobody asked for: a try that waits for the rest to end goes over another. */
+    private void stray() {
+        Upstream t = at;
+        at = null;
+        close();
+        if (t != null) {
+            t.link = null;
+            send.connect(t);
+        }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
@@ -120,17 +155,24 @@
             while (!closed && frames.next(true)) {
                 if (!up) {
                     opened();
-                } else if (frames.type == 'Z') {
+                } else if (frames.type == 'Z' && !ready) {
                     free();
-                } else if (at != null) {
+                } else if (carries) {
                     relay.message(this, at, frames);
-                } else if (frames.type == 'E') {
-                    // Nothing was asked: the pod says that it is about to end the connection.
-                    close();
+                } else if (frames.type != 'S' && frames.type != 'N') {
+                    // Nothing was asked: a copy, noise, or the pod says that it is about to end the connection.
+                    stray();
                 }
             }
+            if (ready && frames.partial()) {
+                stray();
+            }
         } catch (Fault e) {
-            lost();
+            if (ready) {
+                stray();
+            } else {
+                lost();
+            }
         }
     }
 
@@ -140,6 +182,7 @@
             lost();
         } else if (frames.type == 'Z') {
             up = true;
+            ready = true;
             pods.opened(this);
             openLimit.cancel(false);
             if (at != null) {
@@ -152,19 +195,25 @@
     void told() {
         at.link = null;
         at = null;
+        carries = false;
     }
 
     private void free() {
-        if (at != null) {
+        if (carries) {
             throw new Fault("ready without an answer");
         }
+        ready = true;
         idleSinceNs = clock.now();
         pods.free(this);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        lost();
+        if (ready) {
+            stray();
+        } else {
+            lost();
+        }
         if (frames != null) {
             frames.close();
         }
--- a/src/main/java/mulleinlever/sidecar/Pods.java
+++ b/src/main/java/mulleinlever/sidecar/Pods.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -83,19 +84,32 @@
         place.idle.clear();
     }
 
-    /** The one used last: those not needed grow old and are closed. */
+    /**
+     * The one used last of those that have rested: those not needed grow old and are closed. Where none has
+     * rested, the one that will have first, since to open another costs the pod more.
+     */
     PodLink idle(String pod) {
         Place place = places.get(pod);
         if (place == null) {
             return null;
         }
-        for (PodLink l = place.idle.pollLast(); l != null; l = place.idle.pollLast()) {
-            if (l.usable() && clock.now() - l.idleSinceNs < idleNs) {
-                return l;
-            }
-            l.close();
+        long now = clock.now();
+        PodLink found = null;
+        for (Iterator<PodLink> i = place.idle.descendingIterator();
+                i.hasNext() && (found == null || found.restNs(now) > 0);) {
+            PodLink l = i.next();
+            found = l.usable() && now - l.idleSinceNs < idleNs ? l : found;
         }
-        return null;
+        place.idle.remove(found);
+        return found;
+    }
+
+    /** Lets a try wait until the connection has rested; it is given up like one that opens. */
+    void rest(Upstream t, PodLink link, long forNs) {
+        t.link = link;
+        link.awaits(t);
+        places.get(link.pod).opening.add(link);
+        net.after(forNs, () -> link.rested(t));
     }
 
     void free(PodLink link) {
--- a/src/main/java/mulleinlever/sidecar/Send.java
+++ b/src/main/java/mulleinlever/sidecar/Send.java
@@ -32,9 +32,18 @@
         }
         t.limit = net.after(limitNs, () -> end(t, Ending.TIMEOUT));
         PodLink link = pods.idle(pod);
-        if (link != null) {
+        long restNs = link == null ? 0 : link.restNs(now);
+        if (link == null) {
+            connect(t);
+        } else if (restNs > 0) {
+            pods.rest(t, link, restNs);
+        } else {
             write(t, link);
-        } else if (!pods.open(t, this)) {
+        }
+    }
+
+    void connect(Upstream t) {
+        if (!pods.open(t, this)) {
             net.soon(() -> book.ended(t, Ending.CONNECT_FAILED, null));
         }
     }
--- a/src/test/java/mulleinlever/sidecar/SocketsTest.java
+++ b/src/test/java/mulleinlever/sidecar/SocketsTest.java
@@ -588,6 +588,43 @@
         }
     }
 
+    /** The value that was asked for, then once more or something else, after a moment. */
+    private static boolean giveMore(String query, DataOutputStream out, long afterMs, byte[] more) throws Exception {
+        give(out, query.replaceAll(".*ref = '(.*?)'.*", "$1"));
+        out.flush();
+        Thread.sleep(afterMs);
+        out.write(more);
+        return true;
+    }
+
+    @Test
+    void aCopyOfAnAnswerIsNotTheNextOnes() throws Exception {
+        Listener pod = pod((q, out) -> giveMore(q, out, q.contains("'even'") ? 0 : 1,
+                served("stale".getBytes(StandardCharsets.UTF_8))));
+        start();
+        try (Client c = new Client()) {
+            for (int i = 0; i < 30; i++) {
+                assertEquals("TDoddC", c.ask(get("odd", 800)));
+                assertEquals("TDevenC", c.ask(get("even", 800)));
+            }
+            // The pod was not asked more than once for any, whichever connection went.
+            assertEquals(60, pod.told.size());
+        }
+    }
+
+    @Test
+    void noiseOnAnIdleConnectionCostsOnlyThatConnection() throws Exception {
+        Listener pod = pod((q, out) -> giveMore(q, out, 10, new byte[] {7, 0, 0}));
+        start();
+        try (Client c = new Client()) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals("TDvC", c.ask(get("v", 800)));
+                Thread.sleep(50);
+            }
+            assertEquals(5, pod.told.size());
+        }
+    }
+
     @Test
     void idleConnectionsToPodsGoBeforeTheirTime() throws Exception {
         Listener pod = pod((q, out) -> give(out, "v"));
