--- /dev/null
+++ b/settings/src/main/java/mulleinlever/settings/Nearest.java
@@ -0,0 +1,32 @@
+package mulleinlever.settings;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.stream.IntStream;
+
+/** The known name that a misspelt one was most likely meant to be. */
+final class Nearest {
+    private Nearest() { }
+
+    /** Words to put behind a fault; none where nothing known is near. */
+    static String hint(String wrong, Collection<String> known) {
+        return known.stream().filter(k -> edits(wrong, k) <= Math.max(2, wrong.length() / 3))
+                .min(Comparator.comparingInt((String k) -> edits(wrong, k)).thenComparing(k -> k))
+                .map(k -> "; did you mean " + k + "?").orElse("");
+    }
+
+    /** How many letters are to be put in, taken out or exchanged (Levenshtein's distance). */
+    static int edits(String from, String to) {
+        int[] row = IntStream.rangeClosed(0, to.length()).toArray();
+        for (int i = 1; i <= from.length(); i++) {
+            int diagonal = row[0];
+            row[0] = i;
+            for (int j = 1; j <= to.length(); j++) {
+                int changed = diagonal + (from.charAt(i - 1) == to.charAt(j - 1) ? 0 : 1);
+                diagonal = row[j];
+                row[j] = Math.min(changed, Math.min(row[j], row[j - 1]) + 1);
+            }
+        }
+        return row[to.length()];
+    }
+}
--- a/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
@@ -1,6 +1,8 @@
 package mulleinlever.sidecar;
 
 import io.netty.channel.ChannelFuture;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -8,6 +10,7 @@
 import mulleinlever.Policy;
 import mulleinlever.Settings;
 import mulleinlever.settings.Fault;
+import mulleinlever.settings.Ours;
 
 /** The real sidecar: puts its parts together, starts and ends. */
 public final class Serve {
@@ -41,13 +44,19 @@
         this.reload = new Reload(env, config, net, log);
     }
 
-    /** Serves until the process is told to stop; the exit code is 0 then, 2 where it can't start. */
-    public static int run(Map<String, String> env) throws InterruptedException {
+    /**
+     * Serves until the process is told to stop; the exit code is 0 then, 2 where it can't start.
+     *
+     * @param with files of ours, in TOML, that switch on what is off without them
+     */
+    public static int run(Map<String, String> env, List<Path> with) throws InterruptedException {
         Clock clock = new Clock();
         Log log = new Log(System.err, clock);
         Config config;
+        Ours ours;
         try {
             config = Config.load(env);
+            ours = with.isEmpty() ? Ours.NONE : Ours.read(with);
         } catch (RuntimeException e) {
             log.say("config", e instanceof Fault ? e.getMessage() : e.toString());
             return 2;
