Policy gives out what it learned in pieces and takes it in at another start

Need: a restarted sidecar knows no slow, failing or hung pod, no route's usual time, no baseline (issue Remembered state).

Change: Policy.learned and Policy.recall, over plain values (Learned): pods' slowness, lateness and strikes, routes' times and usual times, shares of refused links and of unanswered tries, the detectors' long-term pairs, keys that can't go back. What a fresh start must earn anew is not among it. A remembered figure counts for four outcomes at most, strikes for three, which one good answer clears; a sick pod's first try comes at random within its rest. Nothing calls them yet.

--- a/core/src/main/java/mulleinlever/Averages.java
+++ b/core/src/main/java/mulleinlever/Averages.java
@@ -12,6 +12,18 @@
         this.samples = samples;
     }
 
+    Learned.OfBaseline learned(int build, String route, boolean ofLate) {
+        return new Learned.OfBaseline(build, route, ofLate, mean, deviation, samples);
+    }
+
+    /** Takes a remembered pair, as learned from so many samples at most, or as many as before. */
+    void recall(Learned.OfBaseline was, double most) {
+        mean = was.mean();
+        deviation = was.deviation();
+        recent = mean;
+        samples = Math.max(samples, Math.min(most, was.samples()));
+    }
+
     /** Takes a sample into the long-term pair, with a greater weight while there are few. */
     void learn(double sample, double weight) {
         double w = Math.max(weight, 1.0 / ++samples);
--- a/core/src/main/java/mulleinlever/Mean.java
+++ b/core/src/main/java/mulleinlever/Mean.java
@@ -19,6 +19,16 @@
         count.add(nowNs, n);
     }
 
+    Learned.Figure figure(long nowNs) {
+        double n = count.read(nowNs);
+        return new Learned.Figure(n > 0 ? sum.read(nowNs) / n : 0, n);
+    }
+
+    /** Takes a remembered mean, for so many outcomes at most. */
+    void recall(long nowNs, Learned.Figure f, double most) {
+        add(nowNs, f.mean(), Math.min(f.weight(), most));
+    }
+
     double read(long nowNs, double lean, double leanCount) {
         return (sum.read(nowNs) + lean * leanCount) / (count.read(nowNs) + leanCount);
     }
--- a/core/src/main/java/mulleinlever/Pod.java
+++ b/core/src/main/java/mulleinlever/Pod.java
@@ -36,6 +36,25 @@
         }
     }
 
+    Learned.OfPod learned(long nowNs) {
+        return new Learned.OfPod(is, slowness.figure(nowNs), late.figure(nowNs), strikes);
+    }
+
+    /** Takes what was remembered of it; false where that was of another machine under its id. */
+    boolean recall(long nowNs, Learned.OfPod was, double most, int mostStrikes) {
+        if (isThatOf(was.is())) {
+            slowness.recall(nowNs, was.slowness(), most);
+            late.recall(nowNs, was.late(), most);
+            strikes = Math.min(mostStrikes, was.strikes());
+        }
+        return isThatOf(was.is());
+    }
+
+    /** Whether this still is the pod of which that was learned. */
+    boolean isThatOf(PodEntry then) {
+        return is.startedNs() == then.startedNs() && is.build() == then.build();
+    }
+
     boolean ready() {
         return is.state() == PodEntry.State.READY;
     }
@@ -57,7 +76,7 @@
 
     /** Takes a new line of the list. An id may come back as another machine: its past counts for nothing. */
     void take(PodEntry entry) {
-        if (is.startedNs() != entry.startedNs() || is.build() != entry.build()) {
+        if (!isThatOf(entry)) {
             strikes = 0;
             coldAtNs = 0;
         }
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -1,13 +1,16 @@
 package mulleinlever;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Every decision of one sidecar: where a req goes, when it is tried again or given up, how the sidecar votes.
@@ -85,6 +88,8 @@
     private static final double COPY_AFTER = 1.5;
     private static final double COPY_LEAVES = 2;
     private static final long TICK = 50 * MS;
+    /** What was remembered counts for so many outcomes at most: a few fresh ones prove it wrong. */
+    private static final double PRIOR = 4;
 
     enum State { NORMAL, SUSPECT, ALARM }
 
@@ -110,6 +115,8 @@
     private final Host host;
     private final SplittableRandom random;
     private final Map<String, Row> rows = new LinkedHashMap<>();
+    /** By their place in the table; the last stands for all together. */
+    private final List<String> routes = new ArrayList<>();
     private final Map<String, Pod> pods = new LinkedHashMap<>();
     // Surveyed at each change and tick, so that no req costs more on a larger fleet.
     private Fleet whole = new Fleet(List.of(), "");
@@ -136,7 +143,7 @@
     private int asksFailed;
 
     private final Exposure exposure;
-    private final Map<Long, Integer> answeredBy = new HashMap<>();
+    private final Keys answeredBy = new Keys();
 
     private boolean told;
     private News news = new News(0, 0, News.Phase.RELEASED, 1, 0);
@@ -158,6 +165,8 @@
         for (Settings.Route r : set.routes()) {
             rows.put(r.name(), new Row(r, rows.size(), 2 * MEASURE_HALF_LIFE, FIRST_MEAN));
         }
+        routes.addAll(rows.keySet());
+        routes.add("");
         earlier = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
         trial = new Side(rows.size(), SAMPLE_HALF_LIFE, FLAG_HALF_LIFE);
         detectors = new Detector[2 * rows.size() + 2];
@@ -324,7 +333,7 @@
             weigh(now, rq.row, t, ending, tookNs);
         }
         if (ending == Ending.OK && rollout.oneWay() && rq.is.key() >= 0) {
-            answeredBy.merge(rq.is.key(), t.build(), Math::max);
+            answeredBy.answered(rq.is.key(), t.build());
         }
         rq.answered |= complete || rq.streaming;
         if (!rq.answered && rq.out.isEmpty() && mayGoAgain(now, rq)) {
@@ -517,7 +526,7 @@
 
     private boolean exposureRoom(long now, Rq rq, Pod p) {
         int build = p.is.build();
-        if (news.stands() && build < answeredBy.getOrDefault(rq.is.key(), 0)) {
+        if (news.stands() && build < answeredBy.of(rq.is.key())) {
             return false;
         }
         boolean shielded = news.stageOf(build) < rollout.shieldedStages()
@@ -529,7 +538,7 @@
     /** Where a key can't go back, the trial keeps to a part of the keys: their later reqs need room too. */
     private boolean oneWayKey(long now, Rq rq, int build) {
         double part = Math.min(ONE_WAY_PART * news.capOf(build, rollout), trialPods(now));
-        return answeredBy.getOrDefault(rq.is.key(), 0) == build
+        return answeredBy.of(rq.is.key()) == build
                 || new SplittableRandom(rq.is.key()).nextDouble() < part;
     }
 
@@ -727,6 +736,50 @@
         return Math.max(0, before - voters + 1) * (v == Verdict.BACK ? STAND_IN_BACK : STAND_IN_ON);
     }
 
+    // ---- What is remembered over a restart.
+
+    /**
+     * What it learned, piece by piece, so that the caller may pause in between. What a fresh start must earn
+     * anew is not among it: saved exposure, what cold pods were sent, rates, votes, evidence on the trial.
+     */
+    public Iterator<Learned> learned(long now) {
+        List<Learned> few = new ArrayList<>();
+        few.add(new Learned.OfLinks(refused.figure(now), lost.figure(now)));
+        rows.values().forEach(r -> few.add(r.learned(now, news.build())));
+        for (int i = 0; i < detectors.length; i++) {
+            few.add(detectors[i].learned(news.build(), routes.get(i / 2), i % 2 == 1));
+        }
+        Stream<Learned> ofPods = List.copyOf(pods.values()).stream().map(p -> p.learned(now));
+        return Stream.concat(few.stream(), Stream.concat(ofPods, answeredBy.learned())).iterator();
+    }
+
+    /** Takes in, after list and news and before the first req, what an earlier start gave out. */
+    public void recall(long now, Learned one) {
+        if (one instanceof Learned.OfLinks l) {
+            refused.recall(now, l.refused(), PRIOR);
+            lost.recall(now, l.unanswered(), PRIOR);
+        } else if (one instanceof Learned.OfPod l) {
+            Pod p = pods.get(l.is().id());
+            if (p != null && p.recall(now, l, PRIOR, SICK_STRIKES)) {
+                // The first tries of all the sidecars that started together must not meet at a sick pod.
+                p.sickUntilNs = now + random.nextLong(SICK_FOR << p.strikes);
+            }
+        } else if (one instanceof Learned.OfRoute l && rows.containsKey(l.route())) {
+            Row row = rows.get(l.route());
+            row.recall(now, l, PRIOR, standsFor(l.build()) ? LATE_MEANS : 0);
+        } else if (one instanceof Learned.OfBaseline l && routes.contains(l.route())
+                && standsFor(l.build())) {
+            detectors[2 * routes.indexOf(l.route()) + (l.ofLate() ? 1 : 0)].recall(l, PRIOR);
+        } else if (one instanceof Learned.OfKey l && rollout.oneWay()) {
+            answeredBy.answered(l.key(), l.build());
+        }
+    }
+
+    /** Whether what was learned under that newest build is about what the trial is held against now. */
+    private boolean standsFor(int build) {
+        return news.build() == build || notOnTrial.all().stream().anyMatch(p -> p.is.build() == build);
+    }
+
     public void timer(long now, String token) {
         switch (token) {
             case "sample" -> {
--- a/core/src/main/java/mulleinlever/Row.java
+++ b/core/src/main/java/mulleinlever/Row.java
@@ -8,7 +8,7 @@
     final Mean usual;
     double lateNs;
 
-    private final double firstNs;
+    private double firstNs;
 
     Row(Settings.Route is, int at, long halfLifeNs, double firstMean) {
         this.is = is;
@@ -19,6 +19,22 @@
         this.firstNs = firstMean * is.objectiveNs();
     }
 
+    Learned.OfRoute learned(long nowNs, int build) {
+        return new Learned.OfRoute(is.name(), build, times.figure(nowNs), usual.figure(nowNs));
+    }
+
+    /**
+     * What was remembered stands in for the settings' guess, so that the first answer counts as much. The mark
+     * of lateness, so many times the usual mean, is taken where that is above 0.
+     */
+    void recall(long nowNs, Learned.OfRoute was, double most, double lateMeans) {
+        firstNs = (firstNs + was.times().mean() * was.times().weight()) / (1 + was.times().weight());
+        if (lateMeans > 0 && was.usual().weight() > 0) {
+            usual.recall(nowNs, was.usual(), most);
+            lateNs = lateMeans * was.usual().mean();
+        }
+    }
+
     double meanNs(long nowNs) {
         return times.read(nowNs, firstNs, 1);
     }
--- /dev/null
+++ b/core/src/test/java/mulleinlever/RecallTest.java
@@ -0,0 +1,182 @@
+package mulleinlever;
+
+import static mulleinlever.Bench.MS;
+import static mulleinlever.Bench.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** What one start learned, given to the next. */
+class RecallTest {
+    private static final News OLD = new News(1, 2, News.Phase.RELEASED, 1, 0);
+
+    private static Bench fresh(long seed, PodEntry... pods) {
+        Bench b = Bench.plain(3, false, true, seed);
+        b.policy.listWhole(b.now, List.of(pods));
+        b.policy.news(b.now, OLD);
+        return b;
+    }
+
+    private static PodEntry[] pods(int n) {
+        return IntStream.range(0, n).mapToObj(i -> Bench.pod(i, 1, 0)).toArray(PodEntry[]::new);
+    }
+
+    /** One req after the other; how long each pod takes is told by its number, 0 for one that errors. */
+    private static int[] serve(Bench b, int reqs, long... tookMs) {
+        int[] at = new int[tookMs.length];
+        for (int i = 0; i < reqs; i++) {
+            String id = "q" + b.now;
+            b.policy.req(b.now, new Req(id, "get", false, false, 2 * S, 0, i, null));
+            for (int no = 0; !b.sent.isEmpty() && b.last().rq().equals(id) && no < 2; no++) {
+                int pod = Bench.number(b.last().pod());
+                at[pod]++;
+                b.pass(Math.max(5, tookMs[pod]) * MS);
+                b.end(id, no, tookMs[pod] > 0 ? Ending.OK : Ending.ERROR, Math.max(5, tookMs[pod]) * MS);
+            }
+            b.pass(2 * MS);
+        }
+        return at;
+    }
+
+    private static List<Learned> learnedBy(Bench b) {
+        List<Learned> all = new ArrayList<>();
+        b.policy.learned(b.now).forEachRemaining(all::add);
+        return all;
+    }
+
+    private static void recall(Bench b, List<Learned> all) {
+        all.forEach(l -> b.policy.recall(b.now, l));
+    }
+
+    @Test
+    void slowAndFailingPodsGetLittleFromTheFirstReqOn() {
+        Bench before = fresh(1, pods(4));
+        serve(before, 60, 20, 20, 200, 0);
+        List<Learned> learned = learnedBy(before);
+        int[] cold = new int[4];
+        int[] warm = new int[4];
+        for (int seed = 2; seed < 60; seed++) {
+            int[] c = serve(fresh(seed, pods(4)), 4, 20, 20, 200, 0);
+            Bench b = fresh(seed, pods(4));
+            recall(b, learned);
+            int[] w = serve(b, 4, 20, 20, 200, 0);
+            for (int i = 0; i < 4; i++) {
+                cold[i] += c[i];
+                warm[i] += w[i];
+            }
+        }
+        assertTrue(warm[2] < 0.6 * cold[2], warm[2] + " of " + cold[2] + " at the slow one");
+        assertTrue(warm[3] < 0.5 * cold[3], warm[3] + " of " + cold[3] + " at the failing one");
+    }
+
+    @Test
+    void oneGoodAnswerForgivesAndAFewOutweigh() {
+        Bench b = fresh(1, pods(2));
+        recall(b, List.of(new Learned.OfPod(Bench.pod(0, 1, 0), new Learned.Figure(50, 1e6),
+                new Learned.Figure(1, 1e6), 6)));
+        b.pass(5 * S);
+        // Rested, it gets one try at a time while the other is busy.
+        for (int i = 0; i < 40; i++) {
+            b.req("a" + i, "get", 2 * S);
+        }
+        int first = IntStream.range(0, b.sent.size()).filter(i -> b.sent.get(i).pod().equals("pod0")).findFirst()
+                .orElseThrow();
+        assertEquals(1, b.sent.stream().filter(s -> s.pod().equals("pod0")).count());
+        b.end(b.sent.get(first).rq(), 0, Ending.OK, 20 * MS);
+        for (int i = 0; i < 40; i++) {
+            b.req("b" + i, "get", 2 * S);
+        }
+        assertTrue(b.sent.stream().filter(s -> s.pod().equals("pod0")).count() > 1);
+        int[] at = serve(fresh(2, pods(2)), 100, 20, 20);
+        Bench wrong = fresh(2, pods(2));
+        recall(wrong, List.of(new Learned.OfPod(Bench.pod(0, 1, 0), new Learned.Figure(5, 1e6),
+                new Learned.Figure(1, 1e6), 0)));
+        serve(wrong, 60, 20, 20);
+        int[] then = serve(wrong, 100, 20, 20);
+        assertTrue(then[0] > 0.6 * at[0], then[0] + " against " + at[0]);
+    }
+
+    @Test
+    void whatCameBackAsAnotherMachineIsAnotherPod() {
+        Learned.OfPod sick = new Learned.OfPod(Bench.pod(0, 1, 50 * S), new Learned.Figure(9, 100),
+                new Learned.Figure(1, 100), 6);
+        for (PodEntry now : List.of(Bench.pod(0, 1, 51 * S), Bench.pod(0, 2, 50 * S), Bench.pod(0, 1, 50 * S))) {
+            Bench b = fresh(1, now);
+            b.policy.news(b.now, new News(2, 2, News.Phase.RELEASED, 1, 0));
+            recall(b, List.of(sick, new Learned.OfPod(Bench.pod(7, 1, 0), sick.slowness(), sick.late(), 6)));
+            Learned.OfPod got = learnedBy(b).stream().filter(Learned.OfPod.class::isInstance)
+                    .map(Learned.OfPod.class::cast).findAny().orElseThrow();
+            boolean same = now.equals(sick.is());
+            assertEquals(same ? 3 : 0, got.strikes());
+            assertEquals(same ? 4 : 0, got.slowness().weight(), 1e-9);
+        }
+    }
+
+    @Test
+    void aKeyDoesNotGoBackOverARestart() {
+        Bench before = fresh(1, Bench.pod(0, 1, 0), Bench.pod(1, 2, 0));
+        before.policy.news(before.now, new News(2, 2, News.Phase.RELEASED, 1, 0));
+        before.policy.listWhole(before.now, List.of(Bench.pod(1, 2, 0)));
+        before.policy.req(before.now, new Req("a", "get", false, false, S, 0, 7, null));
+        before.end("a", 0, Ending.OK, 20 * MS);
+        Bench after = fresh(2, Bench.pod(0, 1, 0));
+        after.policy.news(after.now, new News(2, 2, News.Phase.RELEASED, 1, 0));
+        recall(after, learnedBy(before));
+        after.policy.req(after.now, new Req("c", "get", false, false, S, 0, 8, null));
+        after.policy.req(after.now, new Req("b", "get", false, false, S, 0, 7, null));
+        assertEquals(List.of("c"), after.sent.stream().map(Bench.Sent::rq).toList());
+    }
+
+    @Test
+    void baselineAndMarkOfAnotherBuildAreLeftOut() {
+        Learned.OfBaseline base = new Learned.OfBaseline(1, "", false, 0.3, 0.1, 50);
+        Learned.OfRoute route = new Learned.OfRoute("get", 1, new Learned.Figure(30 * MS, 50),
+                new Learned.Figure(30 * MS, 50));
+        for (int build : new int[] {1, 2, 3}) {
+            // Build 1 is the newest, or the one that the trial is held against, or gone.
+            Bench b = fresh(1, Bench.pod(0, build < 3 ? 1 : 2, 0));
+            b.policy.news(b.now, new News(build, 1, build == 1 ? News.Phase.RELEASED : News.Phase.ON_TRIAL, 0.5, 0));
+            recall(b, List.of(base, route, new Learned.OfRoute("other", 1, route.times(), route.usual()),
+                    new Learned.OfBaseline(1, "other", true, 1, 1, 1)));
+            double mean = learnedBy(b).stream().filter(l -> l instanceof Learned.OfBaseline o && o.route().isEmpty()
+                    && !o.ofLate()).mapToDouble(l -> ((Learned.OfBaseline) l).mean()).sum();
+            assertEquals(build < 3 ? 0.3 : 0, mean, 1e-9);
+            double usual = learnedBy(b).stream().filter(Learned.OfRoute.class::isInstance)
+                    .mapToDouble(l -> ((Learned.OfRoute) l).usual().weight()).sum();
+            assertEquals(build < 3 ? 4 : 0, usual, 1e-9);
+        }
+    }
+
+    @Test
+    void givenOutInPiecesWhileTheListChanges() {
+        Bench b = fresh(1, pods(50));
+        Iterator<Learned> pieces = b.policy.learned(b.now);
+        int n = 0;
+        while (pieces.hasNext()) {
+            pieces.next();
+            b.policy.listChanged(b.now, List.of(Bench.pod(100 + n++, 1, 0)));
+        }
+        assertTrue(n >= 50);
+        assertFalse(learnedBy(b).isEmpty());
+    }
+
+    @Test
+    void firstTriesAtASickPodDoNotMeet() {
+        int atOnce = 0;
+        for (int seed = 0; seed < 200; seed++) {
+            Bench b = fresh(seed, pods(4));
+            recall(b, List.of(new Learned.OfPod(Bench.pod(0, 1, 0), new Learned.Figure(1, 4),
+                    new Learned.Figure(0, 4), 6)));
+            b.pass(400 * MS);
+            serve(b, 1, 20, 20, 20, 20);
+            atOnce += b.sent.get(0).pod().equals("pod0") ? 1 : 0;
+        }
+        assertTrue(atOnce < 20, atOnce + " of 200 began with the sick pod");
+    }
+}
--- a/core/src/test/java/mulleinlever/RulesTest.java
+++ b/core/src/test/java/mulleinlever/RulesTest.java
@@ -59,6 +59,9 @@
         bench.policy.listWhole(bench.now, first);
         first.forEach(this::entry);
         tell(news);
+        if (seed % 2 == 1) {
+            remembered(random).forEach(l -> bench.policy.recall(bench.now, l));
+        }
         for (int step = 0; step < 2_000; step++) {
             time();
             happen(random, step);
@@ -71,6 +74,25 @@
         taken.keySet().forEach(id -> assertTrue(done.containsKey(id), "no answer to " + id));
     }
 
+    /** Whatever was remembered, true or not, the rules hold as they do for a cold start. */
+    private List<Learned> remembered(SplittableRandom random) {
+        List<Learned> all = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Learned.Figure f = new Learned.Figure(random.nextDouble() * 5, random.nextInt(1_000));
+            Learned.Figure ns = new Learned.Figure(random.nextInt(3_000) * MS, random.nextInt(1_000));
+            int build = random.nextInt(4);
+            String route = List.of("r", "d", "n", "", "other").get(random.nextInt(5));
+            all.add(switch (random.nextInt(5)) {
+                case 0 -> new Learned.OfLinks(f, f);
+                case 1 -> new Learned.OfPod(Bench.pod(random.nextInt(10), build, 0), f, f, random.nextInt(9));
+                case 2 -> new Learned.OfRoute(route, build, ns, ns);
+                case 3 -> new Learned.OfBaseline(build, route, random.nextBoolean(), f.mean() / 5, f.mean() / 9, 50);
+                default -> new Learned.OfKey(random.nextInt(60), build);
+            });
+        }
+        return all;
+    }
+
     private void time() {
         bench.pass(5 * MS);
         check();
