--- /dev/null
+++ b/state/src/main/java/mulleinlever/state/Ageing.java
@@ -0,0 +1,100 @@
+package mulleinlever.state;
+
+import mulleinlever.Learned;
+
+/**
+ * How what was remembered fades by the time that passed, and when a whole group of it is dropped. It knows no clock:
+ * the age is told, in nanoseconds, or {@link #UNKNOWN} where the clock was set back or the file comes from another.
+ */
+public final class Ageing {
+    /** No age that can be believed. What changes within minutes is dropped then, the rest counts half. */
+    public static final long UNKNOWN = -1;
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long MINUTE = 60 * SECOND;
+    private static final long HOUR = 60 * MINUTE;
+    private static final long DAY = 24 * HOUR;
+    /** Below so many outcomes a figure says nothing. */
+    private static final double LEAST = 0.1;
+
+    /** What fades alike: its half-life, and the age beyond which nothing of it is taken. */
+    public enum Group {
+        /** A slow or hung pod is restarted or recovers within minutes; wrong suspicion of it costs room. */
+        PODS(MINUTE, 15 * MINUTE, false),
+        /** Connections are refused while something lasts, and others hold on to them since. */
+        LINKS(15 * SECOND, 2 * MINUTE, false),
+        /** What a route's work takes changes with builds and the hour of the day. */
+        ROUTES(10 * MINUTE, DAY, true),
+        /** The earlier build's share of failures, as long as it is the earlier build. */
+        BASELINE(HOUR, DAY, true),
+        /** A rule, not an estimate: it does not fade, but long after its build it binds nothing. */
+        KEYS(Long.MAX_VALUE, DAY, true),
+        /** Discovery tells better at once; where it can't, an old list may name addresses that are others' now. */
+        LIST(Long.MAX_VALUE, HOUR, false);
+
+        final long halfLifeNs;
+        final long mostNs;
+        final boolean agelessToo;
+
+        Group(long halfLifeNs, long mostNs, boolean agelessToo) {
+            this.halfLifeNs = halfLifeNs;
+            this.mostNs = mostNs;
+            this.agelessToo = agelessToo;
+        }
+    }
+
+    private Ageing() { }
+
+    /** The age of what was captured at a Unix time in milliseconds, by a clock that may have been set. */
+    public static long age(long capturedUnixMs, long nowNs) {
+        long capturedNs = Math.multiplyExact(capturedUnixMs, 1_000_000L);
+        return capturedNs > nowNs || capturedNs <= 0 ? UNKNOWN : nowNs - capturedNs;
+    }
+
+    /** The part of a figure's weight that is left; 0 where the group is dropped. */
+    public static double left(Group group, long ageNs) {
+        if (ageNs == UNKNOWN) {
+            return group.agelessToo ? 0.5 : 0;
+        }
+        return ageNs > group.mostNs ? 0 : Math.pow(0.5, (double) ageNs / group.halfLifeNs);
+    }
+
+    static Group group(Learned one) {
+        return one instanceof Learned.OfPod ? Group.PODS : one instanceof Learned.OfLinks ? Group.LINKS
+                : one instanceof Learned.OfRoute ? Group.ROUTES : one instanceof Learned.OfBaseline ? Group.BASELINE
+                : Group.KEYS;
+    }
+
+    /** What is left of one thing learned; null where nothing is. */
+    public static Learned aged(Learned one, long ageNs) {
+        double left = left(group(one), ageNs);
+        if (left == 0) {
+            return null;
+        }
+        if (one instanceof Learned.OfPod p) {
+            Learned.OfPod aged = new Learned.OfPod(p.is(), faded(p.slowness(), left), faded(p.late(), left),
+                    (int) Math.round(p.strikes() * left));
+            return aged.slowness().weight() + aged.late().weight() + aged.strikes() > 0 ? aged : null;
+        }
+        if (one instanceof Learned.OfLinks l) {
+            Learned.OfLinks aged = new Learned.OfLinks(faded(l.refused(), left), faded(l.unanswered(), left));
+            return aged.refused().weight() + aged.unanswered().weight() > 0 ? aged : null;
+        }
+        if (one instanceof Learned.OfRoute r) {
+            Learned.OfRoute aged = new Learned.OfRoute(r.route(), r.build(), faded(r.times(), left),
+                    faded(r.usual(), left));
+            return aged.times().weight() + aged.usual().weight() > 0 ? aged : null;
+        }
+        if (one instanceof Learned.OfBaseline b) {
+            double samples = b.samples() * left;
+            return samples < 1 ? null
+                    : new Learned.OfBaseline(b.build(), b.route(), b.ofLate(), b.mean(), b.deviation(), samples);
+        }
+        return one;
+    }
+
+    private static Learned.Figure faded(Learned.Figure f, double left) {
+        double weight = f.weight() * left;
+        return weight < LEAST ? new Learned.Figure(0, 0) : new Learned.Figure(f.mean(), weight);
+    }
+}
--- /dev/null
+++ b/state/src/main/java/mulleinlever/state/Kept.java
@@ -0,0 +1,40 @@
+package mulleinlever.state;
+
+import java.util.List;
+import mulleinlever.Learned;
+import mulleinlever.News;
+
+/**
+ * All that is kept of one sidecar, as it stood at one moment.
+ *
+ * @param news where the newest build stood; its age is not kept
+ * @param pods the list of pods as last had, and what was learned of each
+ * @param learned what was learned besides, pods not among it
+ */
+public record Kept(Head head, News news, List<OfPod> pods, List<Learned> learned) {
+    /**
+     * Whose it is and when it was captured.
+     *
+     * @param writer the program's version
+     * @param instance the sidecar's name
+     * @param machine a mark of the machine it ran on, empty where none is known
+     * @param zone the sidecar's
+     * @param start drawn at random at each start of a process
+     * @param sequence grows from file to file, over restarts too
+     * @param unixMs the machine's wall clock
+     * @param listVersion discovery's, of the list; -1 without a list
+     */
+    public record Head(String writer, String instance, String machine, String zone, long start, long sequence,
+            long unixMs, long listVersion) {
+        Head numbered(long next) {
+            return new Head(writer, instance, machine, zone, start, next, unixMs, listVersion);
+        }
+    }
+
+    /** A pod where it listened, as address and port. */
+    public record OfPod(String address, Learned.OfPod learned) { }
+
+    Kept numbered(long sequence) {
+        return new Kept(head.numbered(sequence), news, pods, learned);
+    }
+}
--- /dev/null
+++ b/state/src/test/java/mulleinlever/state/FormatTest.java
@@ -0,0 +1,191 @@
+package mulleinlever.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
+import org.apache.avro.Schema;
+import org.apache.avro.generic.GenericData;
+import org.apache.avro.generic.GenericDatumWriter;
+import org.apache.avro.generic.GenericRecord;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.EncoderFactory;
+import org.junit.jupiter.api.Test;
+
+class FormatTest {
+    private static Kept read(byte[] bytes) throws StateFault {
+        return Format.read("x.mls", bytes, l -> { });
+    }
+
+    private static StateFault.Kind kindOf(byte[] bytes) {
+        StateFault f = assertThrows(StateFault.class, () -> read(bytes));
+        assertTrue(f.getMessage().startsWith("x.mls: at byte "), f.getMessage());
+        return f.kind;
+    }
+
+    @Test
+    void whatWasWrittenIsRead() throws StateFault {
+        for (int seed = 0; seed < 200; seed++) {
+            Kept kept = Sample.kept(seed, seed % 20);
+            assertEquals(kept, read(Format.write(kept)));
+        }
+    }
+
+    /** A file of each format that ever landed, made by the writer of that time. */
+    @Test
+    void filesOfEachEarlierFormatAreRead() throws IOException, StateFault {
+        for (int format = 1; format <= Format.VERSION; format++) {
+            try (InputStream in = FormatTest.class.getResourceAsStream("format-" + format + ".mls")) {
+                assertEquals(Sample.kept(format, 12), read(in.readAllBytes()));
+            }
+        }
+    }
+
+    @Test
+    void cutAnywhereItIsRefused() {
+        byte[] whole = Format.write(Sample.kept(3, 4));
+        for (int n = 0; n < whole.length; n++) {
+            assertEquals(StateFault.Kind.CUT, kindOf(Arrays.copyOf(whole, n)), "at " + n);
+        }
+        assertEquals(StateFault.Kind.CORRUPT, kindOf(Arrays.copyOf(whole, whole.length + 1)));
+    }
+
+    @Test
+    void withAnyBitFlippedItIsRefused() {
+        byte[] whole = Format.write(Sample.kept(3, 2));
+        for (int at = 0; at < whole.length; at++) {
+            for (int bit = 0; bit < 8; bit++) {
+                byte[] one = whole.clone();
+                one[at] ^= (byte) (1 << bit);
+                StateFault.Kind kind = kindOf(one);
+                assertEquals(at < 8 ? StateFault.Kind.FOREIGN
+                        : at < 12 && bytes(one, 8) > Format.VERSION ? StateFault.Kind.NEWER : StateFault.Kind.CORRUPT,
+                        kind, "at " + at);
+            }
+        }
+    }
+
+    private static int bytes(byte[] in, int at) {
+        return ByteBuffer.wrap(in).getInt(at);
+    }
+
+    @Test
+    void noiseIsRefused() {
+        SplittableRandom random = new SplittableRandom(9);
+        for (int i = 0; i < 500; i++) {
+            byte[] noise = new byte[random.nextInt(400)];
+            random.nextBytes(noise);
+            kindOf(noise);
+            byte[] behindMagic = new ByteArrayOutputStream() {{
+                writeBytes(Format.MAGIC);
+                writeBytes(new byte[] {0, 0, 0, 1});
+                writeBytes(noise);
+            }}.toByteArray();
+            kindOf(behindMagic);
+        }
+    }
+
+    private static byte[] behindMagic(int version, byte[]... parts) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(Format.MAGIC);
+        out.writeBytes(ByteBuffer.allocate(4).putInt(version).array());
+        for (byte[] p : parts) {
+            out.writeBytes(p);
+        }
+        return out.toByteArray();
+    }
+
+    @Test
+    void aLengthIsNotBelievedBeforeItsBytesAreThere() {
+        for (int claimed : new int[] {Integer.MAX_VALUE, Integer.MAX_VALUE - 30, -1}) {
+            for (int field = 1; field < 4; field++) {
+                ByteBuffer head = ByteBuffer.allocate(20).putInt(Format.kind("PODS"));
+                head.putInt(4 * field, claimed);
+                CRC32C crc = new CRC32C();
+                crc.update(head.array(), 0, 16);
+                head.putInt(16, (int) crc.getValue());
+                StateFault.Kind kind = kindOf(behindMagic(1, head.array(), new byte[100]));
+                assertEquals(field == 3 && claimed > 0 ? StateFault.Kind.CUT : StateFault.Kind.CORRUPT, kind);
+            }
+        }
+    }
+
+    private static byte[] section(String kind, String schema, int count, byte[] records) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        Format.section(out, Format.kind(kind), schema.getBytes(StandardCharsets.UTF_8), count, records);
+        return out.toByteArray();
+    }
+
+    /** The file with one section put in front of the end, which is counted anew. */
+    private static byte[] with(byte[] file, int sections, byte[] more) {
+        int end = file.length - 32;
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.write(file, 0, end);
+        out.writeBytes(more);
+        Format.section(out, Format.kind("END "), new byte[0], sections, ByteBuffer.allocate(8).putLong(out.size()).array());
+        return out.toByteArray();
+    }
+
+    @Test
+    void aTextOfTwoGigabytesWithinASoundSectionIsRefused() {
+        // Avro's own length of the first text: 2^31 - 2 as a zigzag number.
+        byte[] records = {(byte) 0xfc, (byte) 0xff, (byte) 0xff, (byte) 0xff, 0x0f, 'x', 'y', 'z'};
+        String schema = "{\"type\":\"record\",\"name\":\"Key\",\"namespace\":\"mulleinlever.state\",\"fields\":"
+                + "[{\"name\":\"t\",\"type\":\"string\"},{\"name\":\"key\",\"type\":\"long\"},"
+                + "{\"name\":\"build\",\"type\":\"int\"}]}";
+        byte[] file = with(Format.write(Sample.kept(1, 1)), 8, section("KEYS", schema, 1, records));
+        assertEquals(StateFault.Kind.CORRUPT, kindOf(file));
+    }
+
+    @Test
+    void aSectionThatMakesNoSenseIsRefusedThoughItsChecksumHolds() {
+        byte[] sound = Format.write(Sample.kept(1, 1));
+        for (String schema : List.of("", "{", "\"int\"", "{\"type\":\"record\",\"name\":\"Key\",\"fields\":[]}")) {
+            assertEquals(StateFault.Kind.CORRUPT, kindOf(with(sound, 8, section("KEYS", schema, 1, new byte[] {1}))));
+        }
+        assertEquals(StateFault.Kind.CORRUPT, kindOf(with(sound, 9, section("KEYS", "{}", 0, new byte[0]))));
+    }
+
+    @Test
+    void aNewerFormatIsSaidToBeOne() {
+        assertEquals(StateFault.Kind.NEWER, kindOf(behindMagic(Format.VERSION + 1, new byte[50])));
+    }
+
+    @Test
+    void whatALaterWriterAddedIsLeftOutAndTold() throws IOException, StateFault {
+        Kept kept = Sample.kept(1, 3);
+        byte[] file = with(Format.write(kept), 8, section("MORE", "{}", 1, new byte[] {1, 2, 3}));
+        List<String> leftOut = new ArrayList<>();
+        assertEquals(kept, Format.read("x", file, leftOut::add));
+        assertEquals(List.of("section MORE of a later writer"), leftOut);
+        // A field more in a record that we know, and one less that has a default.
+        Schema later = new Schema.Parser().parse("{\"type\":\"record\",\"name\":\"Route\",\"namespace\":"
+                + "\"mulleinlever.state\",\"fields\":[{\"name\":\"route\",\"type\":\"string\"},{\"name\":\"more\","
+                + "\"type\":\"long\"},{\"name\":\"build\",\"type\":\"int\"},{\"name\":\"timesNs\",\"type\":\"double\"},"
+                + "{\"name\":\"timesWeight\",\"type\":\"double\"}]}");
+        GenericRecord r = new GenericData.Record(later);
+        r.put("route", "later");
+        r.put("more", 5L);
+        r.put("build", 42);
+        r.put("timesNs", 3.0);
+        r.put("timesWeight", 2.0);
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        BinaryEncoder encoder = EncoderFactory.get().binaryEncoder(records, null);
+        new GenericDatumWriter<GenericRecord>(later).write(r, encoder);
+        encoder.flush();
+        Kept got = read(with(Format.write(kept), 8, section("ROUT", later.toString(), 1, records.toByteArray())));
+        assertEquals(kept.learned().size() + 1, got.learned().size());
+        assertTrue(got.learned().toString().contains("OfRoute[route=later, build=42, times=Figure[mean=3.0, weight=2.0], "
+                + "usual=Figure[mean=0.0, weight=0.0]]"));
+    }
+}
--- /dev/null
+++ b/state/src/test/java/mulleinlever/state/TakingTest.java
@@ -0,0 +1,112 @@
+package mulleinlever.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.SplittableRandom;
+import mulleinlever.Learned;
+import mulleinlever.News;
+import mulleinlever.News.Phase;
+import mulleinlever.PodEntry;
+import org.junit.jupiter.api.Test;
+
+class TakingTest {
+    private static final long S = 1_000_000_000L;
+
+    /** The list as another start meets it: some pods gone, some started anew, some elsewhere. */
+    private static Taking.Here met(Kept kept, SplittableRandom random) {
+        Map<String, PodEntry> pods = new HashMap<>();
+        Map<String, String> addresses = new HashMap<>();
+        for (Kept.OfPod p : kept.pods()) {
+            PodEntry is = p.learned().is();
+            int what = random.nextInt(8);
+            if (what == 0) {
+                continue;
+            }
+            pods.put(is.id(), new PodEntry(is.id(), is.zone(), is.kind(), is.cell(), is.build() + (what == 1 ? 1 : 0),
+                    what == 2 ? PodEntry.State.GONE : PodEntry.State.READY, 1, is.startedNs() + (what == 3 ? 1 : 0)));
+            addresses.put(is.id(), what == 4 ? "10.9.9.9:1" : p.address());
+        }
+        return new Taking.Here(random.nextInt(5) == 0 ? "b" : "a", Set.of("get", "other"), pods, addresses);
+    }
+
+    @Test
+    void whatIsTakenAgreesWithThePlainModel() {
+        SplittableRandom random = new SplittableRandom(8);
+        int left = 0;
+        for (int round = 0; round < 300; round++) {
+            Kept kept = Sample.kept(round, 20);
+            Taking.Here here = met(kept, random);
+            long age = random.nextInt(6) == 0 ? Ageing.UNKNOWN : random.nextLong(1000 * S);
+            List<Learned> expected = new ArrayList<>();
+            for (Kept.OfPod p : kept.pods()) {
+                PodEntry then = p.learned().is();
+                PodEntry now = here.pods().get(then.id());
+                boolean same = now != null && now.state() != PodEntry.State.GONE && now.build() == then.build()
+                        && now.startedNs() == then.startedNs() && p.address().equals(here.addresses().get(then.id()));
+                expected.add(same && here.zone().equals("a") ? Ageing.aged(p.learned(), age) : null);
+            }
+            for (Learned l : kept.learned()) {
+                boolean ofPut = l.toString().contains("route=put");
+                boolean elsewhere = l instanceof Learned.OfLinks && !here.zone().equals("a");
+                expected.add(ofPut || elsewhere ? null : Ageing.aged(l, age));
+            }
+            Taking.Taken taken = Taking.of(kept, age, here);
+            assertEquals(expected.stream().filter(Objects::nonNull).toList(), taken.learned());
+            int out = taken.leftOut().values().stream().mapToInt(n -> n).sum();
+            assertEquals(expected.size(), taken.learned().size() + out);
+            left += out;
+        }
+        assertTrue(left > 1000);
+    }
+
+    @Test
+    void theLineSaysWhatWasTakenAndWhatNot() {
+        Kept kept = Sample.kept(1, 3);
+        Map<String, PodEntry> pods = new HashMap<>();
+        Map<String, String> addresses = new HashMap<>();
+        kept.pods().subList(0, 2).forEach(p -> {
+            pods.put(p.learned().is().id(), p.learned().is());
+            addresses.put(p.learned().is().id(), p.address());
+        });
+        String line = Taking.of(kept, 0, new Taking.Here("a", Set.of("put"), pods, addresses)).toString();
+        assertTrue(line.matches("(\\d baselines, )(\\d keys, )?1 links, 2 pods, 1 routes; left out: 1 baselines of no route "
+                + "here, 1 pods gone, 1 routes of no route here"), line);
+    }
+
+    @Test
+    void aListIsTakenOnlyIfNewerThanTheOneToldAndNotOld() {
+        Kept kept = Sample.kept(1, 3);
+        assertTrue(Taking.listHolds(kept, 0, 40));
+        assertTrue(Taking.listHolds(kept, 3600 * S, -1));
+        assertTrue(!Taking.listHolds(kept, 3601 * S, -1) && !Taking.listHolds(kept, 0, 41)
+                && !Taking.listHolds(kept, Ageing.UNKNOWN, 40) && !Taking.listHolds(Sample.kept(1, 0), 0, 40));
+    }
+
+    @Test
+    void newsAreTakenOnlyWhereTheyAllowLess() {
+        for (Phase then : Phase.values()) {
+            for (Phase now : Phase.values()) {
+                for (int build = 41; build <= 43; build++) {
+                    News kept = new News(build, 2, then, 0.7, 0);
+                    News told = new News(42, 1, now, 0.2, 500);
+                    News taken = Taking.tighter(kept, told);
+                    boolean back = then == Phase.REVERTING || then == Phase.WITHDRAWN;
+                    boolean forth = now == Phase.ON_TRIAL || now == Phase.RELEASED;
+                    if (back && (build == 43 || build == 42 && forth)) {
+                        assertEquals(new News(build, 2, then, 0, 0), taken);
+                    } else {
+                        assertNull(taken);
+                    }
+                }
+            }
+        }
+    }
+}
