A sidecar started with [state] keeps what it learned over restarts and kills

Change: Memory reads the newest whole file while the sidecar rehearses, starts from the list that was kept where it is newer and from news that allow less, gives the policy what still holds, and captures in slices of at most half a millisecond. The last write comes with the end of the process. state show, check and prune on the command line, with an exit code for each kind of fault; files that can't be read are told in one line. "known" may be missing from the configuration.

Tests: a real process killed 8 times under load (more with -Dkills=N), a pipe in place of a file as a disk that hangs at the start, in service and at the end, two in one folder, a flipped byte, SIGHUPs during captures, a pod at another address. The tests' program runs on the daemon's own class path where nothing is switched on.

--- a/cli/src/main/java/mulleinlever/cli/Commands.java
+++ b/cli/src/main/java/mulleinlever/cli/Commands.java
@@ -1,5 +1,10 @@
 package mulleinlever.cli;
 
+import java.io.IOException;
+import java.nio.file.AccessDeniedException;
+import java.nio.file.FileSystemException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.NotDirectoryException;
 import picocli.CommandLine;
 
 /** All lines but a bare "serve". */
@@ -8,6 +13,27 @@
 
     /** Runs one line; the exit code. */
     public static int run(String[] args) {
-        return new CommandLine(new Root()).execute(args);
+        return line().execute(args);
+    }
+
+    /** What a file refuses is told in one line; any other fault is ours, and told whole. */
+    static CommandLine line() {
+        return new CommandLine(new Root()).setExecutionExceptionHandler((e, at, parsed) -> {
+            if (!(e instanceof IOException)) {
+                throw e;
+            }
+            at.getErr().println(told((IOException) e));
+            return 1;
+        });
+    }
+
+    private static String told(IOException e) {
+        if (!(e instanceof FileSystemException f)) {
+            return String.valueOf(e.getMessage());
+        }
+        String what = e instanceof NoSuchFileException ? "no such file or folder"
+                : e instanceof NotDirectoryException ? "not a folder"
+                : e instanceof AccessDeniedException ? "access denied" : String.valueOf(f.getReason());
+        return f.getFile() + ": " + what;
     }
 }
--- a/cli/src/main/java/mulleinlever/cli/Root.java
+++ b/cli/src/main/java/mulleinlever/cli/Root.java
@@ -1,8 +1,6 @@
 package mulleinlever.cli;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.util.Properties;
+import mulleinlever.settings.Version;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
@@ -11,9 +9,9 @@
 import picocli.CommandLine.Spec;
 
 /** What is said without a command: how it is used, and that one is missing. */
-@Command(name = "mulleinlever", mixinStandardHelpOptions = true, versionProvider = Root.Version.class,
+@Command(name = "mulleinlever", mixinStandardHelpOptions = true, versionProvider = Root.Given.class,
         description = "Routes reqs to pods and votes on staged releases.",
-        subcommands = {ServeCommand.class, DrillCommand.class})
+        subcommands = {ServeCommand.class, DrillCommand.class, StateCommand.class})
 final class Root implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -23,15 +21,11 @@
         throw new ParameterException(spec.commandLine(), "a command is missing");
     }
 
-    /** The version that the build gave, from a resource beside this class. */
-    static final class Version implements IVersionProvider {
+    /** The version that the build gave. */
+    static final class Given implements IVersionProvider {
         @Override
-        public String[] getVersion() throws IOException {
-            Properties p = new Properties();
-            try (InputStream in = Root.class.getResourceAsStream("version.properties")) {
-                p.load(in);
-            }
-            return new String[] {"mulleinlever " + p.getProperty("version")};
+        public String[] getVersion() {
+            return new String[] {"mulleinlever " + Version.TEXT};
         }
     }
 }
--- a/cli/src/test/java/mulleinlever/cli/LayersTest.java
+++ b/cli/src/test/java/mulleinlever/cli/LayersTest.java
@@ -32,6 +32,23 @@
             .should().dependOnClassesThat().resideInAnyPackage("mulleinlever.drill..", "mulleinlever.sidecar..",
                     "mulleinlever.cli..", "io.netty..");
 
+    /** What subsystems decide is as pure as what the policy does, wherever it lies. */
+    @ArchTest
+    static final ArchRule SUBSYSTEMS_DECIDE_PURELY = classes().that().haveFullyQualifiedName("mulleinlever.state.Ageing")
+            .or().haveFullyQualifiedName("mulleinlever.state.Taking")
+            .or().haveFullyQualifiedName("mulleinlever.state.Capture")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("mulleinlever", "mulleinlever.state", JDK[0], JDK[1],
+                    JDK[2]);
+
+    @ArchTest
+    static final ArchRule FOLDERS_KNOW_NOBODY = classes().that().resideInAPackage("mulleinlever.disk..")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("mulleinlever.disk..", "java..");
+
+    @ArchTest
+    static final ArchRule STATE_KNOWS_NO_FRONT = noClasses().that().resideInAPackage("mulleinlever.state..")
+            .should().dependOnClassesThat().resideInAnyPackage("mulleinlever.settings..", "mulleinlever.sidecar..",
+                    "mulleinlever.drill..", "mulleinlever.cli..", "io.netty..");
+
     @ArchTest
     static final ArchRule FRONTS_ARE_PEERS = noClasses().that().resideInAPackage("mulleinlever.sidecar..")
             .should().dependOnClassesThat().resideInAnyPackage("mulleinlever.drill..", "mulleinlever.cli..");
--- a/sidecar/src/main/java/mulleinlever/sidecar/Address.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Address.java
@@ -8,6 +8,11 @@
 final class Address {
     private Address() { }
 
+    /** The same form for the same address, however it was written. */
+    static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** Null where the text is none. */
     static InetSocketAddress of(String text) {
         int colon = text.lastIndexOf(':');
--- a/sidecar/src/main/java/mulleinlever/sidecar/Config.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Config.java
@@ -36,6 +36,11 @@
         return all;
     }
 
+    /** The same, but started from another list and other news. */
+    Config from(PodList list, News stands) {
+        return new Config(name, listen, discovery, platform, seed, sockets, list, stands, settings);
+    }
+
     static Config load(Map<String, String> env) {
         String file = env.get("LB_CONFIG");
         if (file == null) {
@@ -61,7 +66,7 @@
                 address(all, "listen", env.get("LB_LISTEN")),
                 address(all, "discovery", env.get("LB_DISCOVERY")),
                 address(all, "release_api.address", null), seed(all), (int) Math.min(1 << 20, sockets),
-                PodList.read(all.inner("known")), news(all.inner("release_api.news")),
+                all.has("known") ? PodList.read(all.inner("known")) : PodList.NONE, news(all.inner("release_api.news")),
                 settings(all.inner("settings")));
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -45,6 +45,11 @@
         pods.retire(list);
     }
 
+    /** Of the list as last had. */
+    long version() {
+        return version;
+    }
+
     /** Opens a watch in place of any before it, of whose end the module, having asked anew, need not hear. */
     void watch() {
         if (watch != null) {
--- a/sidecar/src/main/java/mulleinlever/sidecar/Platform.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Platform.java
@@ -70,6 +70,11 @@
         }
     }
 
+    /** Where the newest build stood when last told, be it at the start. */
+    News last(News atFirst) {
+        return last == null ? atFirst : last;
+    }
+
     /** The news behind a line's first words. */
     private static News news(String[] words, int from) {
         News.Phase phase = phase(words[from + 2], new JsonFields("platform: ", null));
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodList.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodList.java
@@ -9,6 +9,9 @@
 
 /** A list of pods as discovery writes it, or the changes since an earlier one, and where each pod listens. */
 record PodList(long version, boolean whole, List<PodEntry> entries, Map<String, String> addresses) {
+    /** Before any list was told: discovery is asked for all of it. */
+    static final PodList NONE = new PodList(0, true, List.of(), Map.of());
+
     static PodList read(JsonFields from) {
         List<PodEntry> entries = new ArrayList<>();
         Map<String, String> addresses = new LinkedHashMap<>();
--- a/sidecar/src/main/java/mulleinlever/sidecar/Pods.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Pods.java
@@ -84,6 +84,12 @@
         place.idle.clear();
     }
 
+    /** Where a pod listens, as address and port; null where that is not known. */
+    String addressOf(String pod) {
+        Place place = places.get(pod);
+        return place == null || place.address == null ? null : Address.text(place.address);
+    }
+
     /**
      * The one used last of those that have rested: those not needed grow old and are closed. Where none has
      * rested, the one that will have first, since to open another costs the pod more.
--- a/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
@@ -26,6 +26,8 @@
     private static final long LATE_NS = 50 * MS;
 
     private final Config config;
+    /** Null where nothing is remembered. */
+    private final Memory memory;
     private final Clock clock;
     private final Log log;
     private final Life life;
@@ -35,8 +37,9 @@
     private Stages stages;
     private long lastNs;
 
-    private Serve(Map<String, String> env, Config config, Clock clock, Log log) {
+    private Serve(Map<String, String> env, Config config, Memory memory, Clock clock, Log log) {
         this.config = config;
+        this.memory = memory;
         this.clock = clock;
         this.log = log;
         this.life = new Life(log);
@@ -61,12 +64,13 @@
             log.say("config", e instanceof Fault ? e.getMessage() : e.toString());
             return 2;
         }
-        Serve serve = new Serve(env, config, clock, log);
+        Serve serve = new Serve(env, config, Memory.open(ours, config, clock, log), clock, log);
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
         AtomicInteger code = new AtomicInteger();
         serve.reload.listen();
         Rehearsal.play(config, played -> {
             log.say("life", played.toString());
+            serve.remember();
             serve.net.soon(() -> {
                 try {
                     serve.start(code);
@@ -78,14 +82,35 @@
             });
         });
         serve.done.await();
+        serve.forgo();
         return code.get();
     }
 
+    /** On the rehearsal's thread, which may wait. */
+    private void remember() {
+        try {
+            if (memory != null) {
+                memory.await();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void forgo() throws InterruptedException {
+        if (memory != null) {
+            memory.close();
+        }
+    }
+
     private void start(AtomicInteger code) {
         if (life.is(Life.Phase.ENDED)) {
             return;
         }
-        stages = new Stages(config, net, clock, log, life);
+        stages = new Stages(memory == null ? config : memory.startsFrom(), net, clock, log, life);
+        if (memory != null) {
+            memory.begin(net, stages);
+        }
         stages.platform.listen();
         if (!config.settings().listMustBeAsked()) {
             stages.discovery.watch();
@@ -138,6 +163,7 @@
         });
         try {
             done.await(1, TimeUnit.MINUTES);
+            forgo();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -158,6 +184,9 @@
 
     private void end() {
         if (life.enter(Life.Phase.ENDED)) {
+            if (memory != null) {
+                memory.last();
+            }
             net.close();
             done.countDown();
         }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
@@ -14,6 +14,7 @@
     final Book book;
     final Discovery discovery;
     final Platform platform;
+    final Policy policy;
     private final Pods pods;
     private final Flow flow = new Flow();
     private final Admit admit;
@@ -30,7 +31,7 @@
         discovery = new Discovery(net, clock, log, config.discovery(), pods);
         platform = new Platform(net, clock, log, config.platform(), set.rollout().voteWaitNs());
         Route route = new Route(net, clock, book, new Send(net, clock, book, pods), discovery, platform, log);
-        Policy policy = new Policy(set, config.seed(), clock.now(), route);
+        policy = new Policy(set, config.seed(), clock.now(), route);
         book.reportsTo(policy);
         route.asks(policy);
         discovery.reportsTo(policy);
@@ -45,6 +46,11 @@
         return new TakeIn(admit, clients, flow, book, clock, log);
     }
 
+    /** Where a pod listens; null where that is not known. */
+    String addressOf(String pod) {
+        return pods.addressOf(pod);
+    }
+
     void sweep() {
         clients.sweep(clock.now());
         pods.sweep(clock.now());
--- a/sidecar/src/test/java/mulleinlever/sidecar/DecodersTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/DecodersTest.java
@@ -215,7 +215,7 @@
         "\"settings\":{|\"set\":{|configuration: settings needs an object"})
     void aFaultyConfigurationIsNamedByItsKey(String there, String instead, String message) {
         String known = "{\"generation\":1,\"instances\":[]}";
-        String good = SocketsTest.config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", known, 99);
+        String good = StandIns.config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", known, 99);
         assertEquals(99, Config.read(good, Map.of()).sockets());
         String bad = good.replace(there, instead == null ? "" : instead);
         Fault fault = assertThrows(Fault.class, () -> Config.read(bad, Map.of()));
--- /dev/null
+++ b/sidecar/src/test/java/mulleinlever/sidecar/MemoryTest.java
@@ -0,0 +1,220 @@
+package mulleinlever.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import mulleinlever.disk.FolderDisk;
+import mulleinlever.state.Keeper;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What is kept over real restarts and real kills of a real process. */
+@Timeout(120)
+class MemoryTest extends StandIns {
+    private static final long MOST = 1 << 20;
+    /** How often the process is killed; more for a long run, outside CI. */
+    private static final int KILLS = Integer.getInteger("kills", 8);
+
+    private Path state;
+
+    MemoryTest() throws IOException { }
+
+    @BeforeEach
+    void remembers() throws IOException {
+        state = folder.resolve("state");
+        with.addAll(List.of("--with", settings("").toString()));
+    }
+
+    private Path settings(String more) throws IOException {
+        return Files.writeString(folder.resolve("state.toml"), "[state]\nfolder = '" + state
+                + "'\nevery = '50ms'\nslice = '0.05ms'\nread_within = '1s'\n" + more);
+    }
+
+    private Keeper.Found newest() throws IOException {
+        return Keeper.newest(new FolderDisk(state), MOST, "n0");
+    }
+
+    private long sequence() {
+        try {
+            return Keeper.sequence(newest().file());
+        } catch (IOException | RuntimeException e) {
+            return 0;
+        }
+    }
+
+    private void kill() throws Exception {
+        process.destroyForcibly().waitFor();
+    }
+
+    private void stop() throws Exception {
+        process.destroy();
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void whatWasLearnedIsTakenAtTheNextStart() throws Exception {
+        // The first and the third are in the sidecar's own zone, where its reqs go first.
+        pod((q, out) -> give(out, "v"));
+        pod((q, out) -> give(out, "v"));
+        pod((q, out) -> {
+            Thread.sleep(60);
+            return give(out, "v");
+        });
+        start();
+        assertTrue(logged().contains("state: nothing taken: no whole file in"), logged());
+        try (Client c = new Client()) {
+            for (int i = 0; i < 30; i++) {
+                assertEquals("TDvC", c.ask(get("1", 800)));
+            }
+        }
+        stop();
+        // The last write came with the end: nothing older is what the next start finds.
+        long last = newest().kept().head().unixMs();
+        assertTrue(System.currentTimeMillis() - last < 3_000);
+        start();
+        String taken = logged().lines().filter(l -> l.contains("state: state-")).findFirst().orElseThrow();
+        assertTrue(taken.matches(".*state-\\d{12}\\.mls, \\d\\.\\d+ s old: .*[23] pods, 1 routes.*"), taken);
+        // A pod that listens elsewhere now is not the one that was slow.
+        kill();
+        pods.set(2, new Listener((in, out) -> { }));
+        start();
+        taken = logged().lines().filter(l -> l.contains("state: state-")).findFirst().orElseThrow();
+        assertTrue(taken.contains("1 pods at another address"), taken);
+    }
+
+    @Test
+    void killedAtAnyMomentUnderLoadItStartsFromTheNewestWholeFile() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        pod((q, out) -> give(out, "v"));
+        SplittableRandom random = new SplittableRandom(6);
+        long before = 0;
+        for (int i = 0; i < KILLS; i++) {
+            start();
+            assertFalse(logged().contains("passed over"), logged());
+            assertTrue(before == 0 || logged().contains("state: " + Keeper.name(before)), logged());
+            AtomicInteger served = new AtomicInteger();
+            thread(() -> {
+                try (Client c = new Client()) {
+                    while (true) {
+                        served.addAndGet(c.ask(get("1", 800)).equals("TDvC") ? 1 : 0);
+                    }
+                }
+            });
+            long from = sequence();
+            until(() -> sequence() > from && served.get() > 20);
+            Thread.sleep(random.nextInt(150));
+            long seen = sequence();
+            kill();
+            before = sequence();
+            assertTrue(before >= seen && seen > from, before + " after " + seen);
+        }
+    }
+
+    @Test
+    void aSecondInTheSameFolderSaysSoAndServesWithout() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start();
+        Process first = process;
+        try {
+            start();
+            assertTrue(logged().contains("state: off: another sidecar holds " + state), logged());
+            try (Client c = new Client()) {
+                assertEquals("TDvC", c.ask(get("1", 800)));
+            }
+            stop();
+        } finally {
+            first.destroyForcibly().waitFor();
+        }
+    }
+
+    @Test
+    void aDiskThatHangsCostsNoReqAndHoldsUpNeitherStartNorEnd() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        Files.createDirectories(state);
+        // Whoever opens a pipe waits for its other end: for ever here.
+        pipe(Keeper.name(40));
+        start();
+        assertTrue(logged().contains("took longer than 1000 ms"), logged());
+        try (Client c = new Client()) {
+            assertEquals("TDvC", c.ask(get("1", 800)));
+        }
+        stop();
+        Files.delete(state.resolve(Keeper.name(40)));
+        start();
+        long at = sequence();
+        for (long n = at + 3; n < at + 60; n++) {
+            pipe(Keeper.name(n) + ".tmp");
+        }
+        until(() -> sequence() > at);
+        try (Client c = new Client()) {
+            for (int i = 0; i < 100; i++) {
+                assertEquals("TDvC", c.ask(get("1", 800)));
+                Thread.sleep(5);
+            }
+        }
+        assertTrue(sequence() < at + 60);
+        stop();
+        assertTrue(logged().contains("the last write was not done within 300 ms"), logged());
+    }
+
+    private void pipe(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("mkfifo", state.resolve(name).toString()).start().waitFor());
+    }
+
+    @Test
+    void aFileThatIsNotWholeIsPassedOverForTheOneBefore() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start();
+        until(() -> sequence() >= 3);
+        stop();
+        long last = sequence();
+        Path file = state.resolve(Keeper.name(last));
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[bytes.length / 2] ^= 4;
+        Files.write(file, bytes);
+        start();
+        assertTrue(logged().contains("passed over " + Keeper.name(last) + ": at byte "), logged());
+        assertTrue(logged().contains("state: " + Keeper.name(last - 1)), logged());
+    }
+
+    @Test
+    void reloadsAndCapturesDoNotDisturbEachOther() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start();
+        for (int i = 0; i < 20; i++) {
+            hangUp();
+            Thread.sleep(7);
+        }
+        long at = sequence();
+        until(() -> sequence() > at + 2);
+        assertTrue(logged().contains("reload: discovery at"), logged());
+        try (Client c = new Client()) {
+            assertEquals("TDvC", c.ask(get("1", 800)));
+        }
+    }
+
+    @Test
+    void faultySettingsEndTheStartWithTheirPlace() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        settings("evry = '1s'\n");
+        // Not by start(), which waits for an answer.
+        var b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), ServeMain.class.getName(), "serve", "--with",
+                folder.resolve("state.toml").toString());
+        port = 1;
+        b.environment().put("LB_CONFIG", configure(256).toString());
+        process = b.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(2, process.exitValue());
+        assertTrue(logged().contains("state.toml:6:1: no such key: state.evry; did you mean every?"), logged());
+    }
+}
--- a/sidecar/src/test/java/mulleinlever/sidecar/RehearsalTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/RehearsalTest.java
@@ -17,7 +17,7 @@
     private static BlockingQueue<Rehearsal> play(String pods) {
         String known = "{\"generation\":7,\"reset\":true,\"instances\":[" + pods + "]}";
         // Addresses at which nothing listens: whatever goes out of the process fails.
-        String text = SocketsTest.config("127.0.0.9:1", "127.0.0.9:2", "127.0.0.9:3", known, 256);
+        String text = StandIns.config("127.0.0.9:1", "127.0.0.9:2", "127.0.0.9:3", known, 256);
         var played = new LinkedBlockingQueue<Rehearsal>();
         Rehearsal.play(Config.read(text, Map.of()), played::add);
         return played;
--- /dev/null
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
@@ -0,0 +1,402 @@
+package mulleinlever.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program in a process of its own, among stand-ins for pods, discovery, the platform and clients. */
+abstract class StandIns {
+    /** What serves one connection of a stand-in. */
+    interface Serving {
+        void serve(DataInputStream in, DataOutputStream out) throws Exception;
+    }
+
+    /** A stand-in that listens; it keeps what it was told, and its open connections. */
+    final class Listener implements Closeable {
+        final ServerSocket at = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+        final List<String> told = new CopyOnWriteArrayList<>();
+        final List<Socket> open = new CopyOnWriteArrayList<>();
+        volatile int ended;
+
+        Listener(Serving serving) throws IOException {
+            thread(() -> {
+                while (true) {
+                    Socket s = at.accept();
+                    s.setTcpNoDelay(true);
+                    open.add(s);
+                    thread(() -> {
+                        try (s) {
+                            serving.serve(new DataInputStream(s.getInputStream()),
+                                    new DataOutputStream(s.getOutputStream()));
+                        } finally {
+                            open.remove(s);
+                            ended++;
+                        }
+                    });
+                }
+            });
+            all.add(this);
+        }
+
+        String address() {
+            return "127.0.0.1:" + at.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            at.close();
+            for (Socket s : open) {
+                s.close();
+            }
+        }
+    }
+
+    interface Work {
+        void run() throws Exception;
+    }
+
+    static void thread(Work work) {
+        Thread t = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // The other side has gone: so does this one.
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    /** How a pod answers a query; false ends the connection. */
+    interface Answers {
+        boolean to(String query, DataOutputStream out) throws Exception;
+    }
+
+    final List<Closeable> all = new ArrayList<>();
+    final List<Listener> pods = new ArrayList<>();
+    final List<String> extraLines = new CopyOnWriteArrayList<>();
+    // Which those are may change within a test, as it may for the program.
+    volatile Listener discovery = new Listener(this::discover);
+    volatile Listener platform = new Listener(this::stage);
+    volatile boolean silent;
+    volatile String ballotAnswer = "OK 1 2 live 1 5000";
+    volatile String progress = "* progress 1 2 live 1 5000";
+    /** What the program is started with besides. */
+    final List<String> with = new ArrayList<>();
+    Process process;
+    int port;
+    @TempDir
+    Path folder;
+
+    StandIns() throws IOException { }
+
+    @AfterEach
+    void end() throws Exception {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+        for (Closeable c : all) {
+            c.close();
+        }
+    }
+
+    Listener pod(Answers answers) throws IOException {
+        Listener[] self = new Listener[1];
+        self[0] = new Listener((in, out) -> {
+            in.skipBytes(in.readInt() - 4);
+            out.write(new byte[] {'R', 0, 0, 0, 8, 0, 0, 0, 0, 'S', 0, 0, 0, 8, 'a', 0, 'b', 0});
+            out.write(new byte[] {'Z', 0, 0, 0, 5, 'I'});
+            while (in.read() == 'Q') {
+                byte[] text = in.readNBytes(in.readInt() - 4);
+                String query = new String(text, 0, text.length - 1, StandardCharsets.UTF_8);
+                self[0].told.add(query);
+                if (!answers.to(query, out)) {
+                    return;
+                }
+            }
+        });
+        pods.add(self[0]);
+        return self[0];
+    }
+
+    static byte[] message(char type, byte[]... parts) throws IOException {
+        var body = new ByteArrayOutputStream();
+        for (byte[] p : parts) {
+            body.write(p);
+        }
+        var out = new ByteArrayOutputStream();
+        var data = new DataOutputStream(out);
+        data.writeByte(type);
+        data.writeInt(4 + body.size());
+        data.write(body.toByteArray());
+        return out.toByteArray();
+    }
+
+    static final byte[] ROW =
+            {0, 1, 'p', 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, -1, -1, -1, -1, -1, -1, 0, 1};
+
+    /** Row, CommandComplete, ReadyForQuery. */
+    static byte[] served(byte[] value) throws IOException {
+        byte[] head = {0, 1, 0, (byte) (value.length >> 16), (byte) (value.length >> 8), (byte) value.length};
+        var out = new ByteArrayOutputStream();
+        out.write(message('T', ROW));
+        out.write(message('D', head, value));
+        out.write(message('C', "SELECT 1\0".getBytes(StandardCharsets.US_ASCII)));
+        out.write(message('Z', new byte[] {'I'}));
+        return out.toByteArray();
+    }
+
+    static boolean give(DataOutputStream out, String value) throws IOException {
+        out.write(served(value.getBytes(StandardCharsets.UTF_8)));
+        return true;
+    }
+
+    static boolean refuse(DataOutputStream out, String code) throws IOException {
+        out.write(message('E', ("SERROR\0C" + code + "\0Mno\0\0").getBytes(StandardCharsets.US_ASCII)));
+        out.write(message('Z', new byte[] {'I'}));
+        return true;
+    }
+
+    void discover(DataInputStream in, DataOutputStream out) throws Exception {
+        discovery.told.add(line(in));
+        while (!line(in).isEmpty()) { }
+        out.writeBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        int said = 0;
+        while (!silent) {
+            String text = said < extraLines.size() ? extraLines.get(said++) + "\n" : "\n";
+            // In two chunks: a line may be split anywhere.
+            int half = text.length() / 2;
+            for (String part : List.of(text.substring(0, half), text.substring(half))) {
+                out.writeBytes(part.isEmpty() ? ""
+                        : Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+            }
+            Thread.sleep(50);
+        }
+        Thread.sleep(30_000);
+    }
+
+    void stage(DataInputStream in, DataOutputStream out) throws Exception {
+        String says = line(in);
+        platform.told.add(says);
+        out.writeBytes((says.equals("NOTIFY") ? "OK\r\n" + progress : ballotAnswer) + "\r\n");
+        while (says.equals("NOTIFY")) {
+            Thread.sleep(100);
+            out.writeBytes(silent ? "" : "*\r\n");
+        }
+    }
+
+    static String line(DataInputStream in) throws IOException {
+        var text = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                throw new EOFException();
+            }
+            text.append((char) c);
+        }
+        return text.toString().trim();
+    }
+
+    String entry(int i, int build, String state) {
+        return String.format("{\"instanceId\":\"p%d\",\"hostPort\":\"%s\",\"zone\":\"%s\",\"machineType\":\"m\","
+                + "\"cell\":0,\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":0,\"build\":%d}", i,
+                pods.get(i).address(), i % 2 == 0 ? "a" : "b", state, build);
+    }
+
+    String list(long version, boolean whole, String... entries) {
+        return "{\"generation\":" + version + ",\"reset\":" + whole + ",\"instances\":["
+                + String.join(",", entries) + "]}";
+    }
+
+    static String route(String name, String repeat) {
+        return "{\"name\":\"" + name + "\",\"aimNs\":500000000,\"deadlineNs\":1500000000,\"worth\":1.0,\"repeat\":\""
+                + repeat + "\",\"keyScope\":\"zone\",\"windowNs\":400000000,\"lateWorth\":0.2}";
+    }
+
+    static String config(String listen, String discovery, String platform, String known, int sockets) {
+        return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},"
+                + "\"release_api\":{\"address\":\"" + platform + "\",\"news\":{\"build\":1,\"stage\":2,"
+                + "\"phase\":\"live\",\"cap\":1.0,\"age_ms\":9000}},\"known\":" + known + ",\"settings\":{"
+                + "\"rank\":0,\"balancers\":1,\"zone\":\"a\",\"zones\":[\"a\",\"b\"],\"discovery\":\"subscribe\","
+                + "\"stepNs\":5000000,\"grades\":[" + route("get", "safe") + "," + route("put", "keyed") + "],"
+                + "\"familyInfo\":{\"control\":\"majority\",\"ayesNeeded\":1,\"votesToRevert\":1,"
+                + "\"bakeNs\":200000000,\"voteStandsNs\":4000000000,\"voteWaitNs\":500000000,"
+                + "\"steps\":[0.1,0.5,1.0],\"mostShares\":[0.2,0.7,1.0],\"windowNs\":2000000000,\"uncounted\":2},"
+                + "\"contract\":{\"answerSlackNs\":20000000,\"stopSendingWithinNs\":250000000,\"coldShare\":0.3,"
+                + "\"warmAfterNs\":2000000000,\"fallMultiple\":3,\"fallNs\":1000000000,"
+                + "\"askWithinNs\":10000000000},\"policyLimits\":{\"maxAttempts\":4,\"cancel\":true,"
+                + "\"retryAfter\":true,\"maxRetryAfterNs\":1000000000,\"connectTimeoutNs\":250000000,"
+                + "\"connIdleNs\":1000000000}}}";
+    }
+
+    void start() throws Exception {
+        start(256);
+    }
+
+    Path configure(int sockets) throws IOException {
+        String[] entries = new String[pods.size()];
+        Arrays.setAll(entries, i -> entry(i, 1, "ready"));
+        return Files.writeString(folder.resolve("config.json"), config("127.0.0.1:" + port, discovery.address(),
+                platform.address(), list(7, true, entries), sockets));
+    }
+
+    String logged() {
+        try {
+            return Files.readString(folder.resolve("log"));
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+    }
+
+    void start(int sockets) throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Path file = configure(sockets);
+        // From another class path and with other flags, where these properties are set.
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("sidecar.classpath", with.isEmpty() ? lean() : System.getProperty("java.class.path"))));
+        String flags = System.getProperty("sidecar.flags", "-Xmx40m -XX:MaxDirectMemorySize=40m");
+        command.addAll(List.of(flags.split(" ")));
+        command.addAll(List.of(System.getProperty("sidecar.main", ServeMain.class.getName()), "serve"));
+        command.addAll(with);
+        var b = new ProcessBuilder(command);
+        b.environment().put("LB_CONFIG", file.toString());
+        process = b.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        until(() -> {
+            try (Client c = new Client()) {
+                c.query("");
+                return c.next().equals("I");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    /** The class path without what is loaded only where switched on: each jar on it would take a descriptor. */
+    private static String lean() {
+        return Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+                .filter(e -> !e.endsWith(".jar") || e.matches(".*/(netty|core|settings|sidecar)-[^/]*"))
+                .collect(Collectors.joining(File.pathSeparator));
+    }
+
+    static void until(BooleanSupplier holds) throws InterruptedException {
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "waited in vain");
+            Thread.sleep(10);
+        }
+    }
+
+    /** A client's connection; an answer reads as its type, a row with its value, an error with its code. */
+    final class Client implements Closeable {
+        final Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        final DataInputStream in = new DataInputStream(socket.getInputStream());
+
+        Client() throws IOException {
+            this(true);
+        }
+
+        Client(boolean greets) throws IOException {
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(10_000);
+            if (greets) {
+                socket.getOutputStream().write(hello());
+                while (!next().equals("Z")) { }
+            }
+        }
+
+        void query(String text) throws IOException {
+            socket.getOutputStream().write(queryBytes(text));
+        }
+
+        String next() throws IOException {
+            char type = (char) in.readUnsignedByte();
+            byte[] body = in.readNBytes(in.readInt() - 4);
+            String text = new String(body, StandardCharsets.UTF_8);
+            return switch (type) {
+                case 'D' -> "D" + text.substring(6);
+                case 'E' -> "E" + text.replaceAll("(?s).*\0C(.{5})\0.*", "$1")
+                        + (text.contains("\0D") ? " with advice" : "");
+                default -> String.valueOf(type);
+            };
+        }
+
+        /** The whole answer to one command. */
+        String answer() throws IOException {
+            var s = new StringBuilder();
+            for (String m = next(); !m.equals("Z"); m = next()) {
+                s.append(m);
+            }
+            return s.toString();
+        }
+
+        String ask(String text) throws IOException {
+            query(text);
+            return answer();
+        }
+
+        boolean ended() throws IOException {
+            try {
+                return in.read() < 0;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    static byte[] hello() throws IOException {
+        byte[] words = "\0\3\0\0user\0web\0database\0orders\0\0".getBytes(StandardCharsets.US_ASCII);
+        var out = new ByteArrayOutputStream();
+        new DataOutputStream(out).writeInt(4 + words.length);
+        out.write(words);
+        return out.toByteArray();
+    }
+
+    static byte[] queryBytes(String text) throws IOException {
+        return message('Q', (text + "\0").getBytes(StandardCharsets.UTF_8));
+    }
+
+    int ids;
+
+    String get(String ref, int waitsMs) {
+        return String.format("SELECT payload FROM entries WHERE ref = '%s' /* id=%016x,c=get,t=acme,d=%d */", ref,
+                ++ids, waitsMs);
+    }
+
+    String put(String value, int waitsMs) {
+        return String.format("INSERT INTO entries (ref, payload) VALUES ('7f', '%s') RETURNING payload"
+                + " /* id=%016x,c=put,t=acme,d=%d,k=5c0f */", value, ++ids, waitsMs);
+    }
+}
--- a/state/src/main/java/mulleinlever/state/Keeper.java
+++ b/state/src/main/java/mulleinlever/state/Keeper.java
@@ -31,7 +31,8 @@
     private static final int PIECE = 1 << 16;
     private static final Pattern NAME = Pattern.compile("state-(\\d{12})\\.mls");
     private static final String UNFINISHED = ".tmp";
-    private static final String LOCK = "lock";
+    /** The file whose lock says that a sidecar uses the folder. */
+    public static final String LOCK = "lock";
 
     /** What a read found: null where nothing was whole, and a line for each file passed over. */
     public record Found(String file, Kept kept, List<String> passedOver) { }
@@ -79,6 +80,11 @@
         return m.matches() ? Long.parseLong(m.group(1)) : -1;
     }
 
+    /** Whether a file of that name was being written when its writer ended. */
+    public static boolean unfinished(String name) {
+        return name.endsWith(UNFINISHED) && sequence(name.substring(0, name.length() - UNFINISHED.length())) >= 0;
+    }
+
     /** Takes the lock and reads the newest whole file, on the keeper's thread. */
     public Future<Found> open() {
         return thread.submit(this::begin);
@@ -119,7 +125,7 @@
         }
         sequence = highest(names);
         for (String name : names) {
-            if (name.endsWith(UNFINISHED)) {
+            if (unfinished(name)) {
                 disk.delete(name);
             }
         }
@@ -177,6 +183,11 @@
         }
     }
 
+    /** Whether nothing is under way: what is captured meanwhile would only be dropped. */
+    public boolean idle() {
+        return thread.getActiveCount() == 0 && thread.getQueue().isEmpty();
+    }
+
     /** Waits until all that was handed over is done with; for tests, and for those that have time. */
     void drain() throws InterruptedException, ExecutionException {
         for (boolean queued = false; !queued;) {
@@ -191,13 +202,10 @@
 
     /** Lets what was handed over be written, for so long at most, and gives up the lock. */
     public void close(long withinNs) throws InterruptedException {
-        try {
-            thread.execute(this::unlock);
-        } catch (RejectedExecutionException e) {
-            // One job waits already: the lock goes with the process.
-        }
         thread.shutdown();
-        if (!thread.awaitTermination(withinNs, TimeUnit.NANOSECONDS)) {
+        if (thread.awaitTermination(withinNs, TimeUnit.NANOSECONDS)) {
+            unlock();
+        } else {
             log.accept("the last write was not done within " + withinNs / 1_000_000 + " ms");
         }
     }
