--- a/sidecar/src/main/java/mulleinlever/sidecar/Memory.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Memory.java
@@ -45,7 +45,8 @@
     private Net net;
     private Stages stages;
 
-    private Memory(Ours.Remember set, Config config, Clock clock, Log log) {
+    /** Begins to read, on a thread of its own. */
+    Memory(Ours.Remember set, Config config, Clock clock, Log log) {
         this.set = set;
         this.config = config;
         this.clock = clock;
@@ -63,11 +64,6 @@
         opening = keeper.open();
     }
 
-    /** Begins to read, on a thread of its own; null where nothing is to be remembered. */
-    static Memory open(Ours ours, Config config, Clock clock, Log log) {
-        return ours.remember() == null ? null : new Memory(ours.remember(), config, clock, log);
-    }
-
     /** Not on the loop: waits for what is read, for a time that is bounded. */
     void await() throws InterruptedException {
         found = keeper.await(opening, set.readWithinNs());
--- a/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
@@ -64,7 +64,9 @@
             log.say("config", e instanceof Fault ? e.getMessage() : e.toString());
             return 2;
         }
-        Serve serve = new Serve(env, config, Memory.open(ours, config, clock, log), clock, log);
+        // Not even named where it is off: what it needs is not on the bare daemon's class path.
+        Memory memory = ours.remember() == null ? null : new Memory(ours.remember(), config, clock, log);
+        Serve serve = new Serve(env, config, memory, clock, log);
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
         AtomicInteger code = new AtomicInteger();
         serve.reload.listen();
