A lost zone is left as a whole, and on large fleets votes don't wait for so much

Five of six needed 'on' stood when voters turned suspect: by lateness that the lost zone caused (0.29 to 0.41 against 0.20; the clause on builds that slow all), by one or two reports of wrong answers, and the stand-ins waited 2 s each. Ruled out: capacity (80 of 120 pods were left), the platform's calls (6 of 60 votes refused, all as out of date), room (51, 12 open, lines empty), discovery (lists came), CPU and start (2.4 s, none restarted). Lines at fault: fit() and rescue() know pods only; sample() takes the fleet's lateness for the build's; trialPods() counts pods that nobody can reach; verdict() asks each voter for all of the proof; standInAfter() knows nothing of the fleet. Change: dark zones; the trial's part counts pods that can be used; the shared proof; steps of stand-ins; votes logged.

--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -44,6 +44,8 @@
     private static final double FRESH_PART = 0.7;
     /** Warm outcomes that the last 'on' waits for, and for how long: more finds milder faults, and delays. */
     private static final int PROOF = 80;
+    /** Those who have to agree see so many together: each needs fewer the more they are. */
+    private static final int PROOF_VOTERS = 2;
     private static final long PROOF_WAIT = 10 * SECOND;
     /** Reports are rare and late, so they are kept for longer; so few may be mistaken, and alarm nobody. */
     private static final double FEW_FLAGS = 2.5;
@@ -51,6 +53,9 @@
     /** How long a later-ranked sidecar waits for each voter before it: harm is dearer than delay. */
     private static final long STAND_IN_ON = 2 * SECOND;
     private static final long STAND_IN_BACK = SECOND / 2;
+    private static final double STAND_INS = 2;
+    /** Of the calls a second that the platform takes from all sidecars, the part for those who stand in. */
+    private static final double CALLS_PART = 0.5;
 
     private static final long MEASURE_HALF_LIFE = 5 * SECOND;
     /** What a route's tries are taken to need before any is seen, in shares of its objective. */
@@ -64,6 +69,8 @@
     /** Share of new connections refused above which only pods that were heard lately are used. */
     private static final double SCARCE = 0.25;
     private static final double PANIC_PART = 0.5;
+    /** So many pods of a zone that gave nothing, with nothing heard from it in between, make it dark. */
+    private static final int DARK_PODS = 3;
     /** Long past any report on it: pods that came and went would else pile up with each release. */
     private static final long FORGET_AFTER = 60 * SECOND;
     /** A pod that owes answers and gave none for so many mean times of the slowest route is silent. */
@@ -118,11 +125,14 @@
     /** By their place in the table; the last stands for all together. */
     private final List<String> routes = new ArrayList<>();
     private final Map<String, Pod> pods = new LinkedHashMap<>();
+    private final Map<String, Zone> zones = new HashMap<>();
     // Surveyed at each change and tick, so that no req costs more on a larger fleet.
     private Fleet whole = new Fleet(List.of(), "");
     private Fleet onTrial = whole;
     private Fleet notOnTrial = whole;
     private int places;
+    private double trialPods;
+    private long shakenUntilNs;
     private double silentAfterNs;
     private boolean panic;
     private boolean linksScarce;
@@ -214,7 +224,12 @@
         room = room == 0 && !whole.all().isEmpty() ? ROOM_FIRST * leastRoom() : room;
         // Pods that take no more connections look like dead ones; either way what answered lately serves.
         linksScarce = refused.read(now, 0, 4) > SCARCE && whole.count(p -> linked(now, p)) > open;
-        panic = whole.count(p -> fit(now, p)) < PANIC_PART * whole.all().size();
+        // Pods that can't be reached would not help those that can.
+        long lit = whole.count(p -> !dark(p));
+        panic = whole.count(p -> fit(now, p)) < PANIC_PART * lit;
+        trialPods = Math.min(1, onTrial.count(p -> !cold(now, p) && fit(now, p)) / Math.max(1.0, places));
+        // What the loss of a major part did to the rest must have faded before it can tell of a build.
+        shakenUntilNs = lit < (1 - MINOR) * whole.all().size() ? now + 2 * SAMPLE_HALF_LIFE : shakenUntilNs;
     }
 
     /** Whether a watch still stands can't be told from this, so it is asked for again, ever more rarely. */
@@ -301,6 +316,9 @@
         if (cold(now, pod)) {
             pod.coldLeft--;
         }
+        if (dark(pod)) {
+            zone(pod).ask(now, SICK_FOR, random);
+        }
         if (news.onTrial(t.build())) {
             exposure.spend(t.build(), rq.row.at);
         }
@@ -381,7 +399,7 @@
 
     /** Two random choices by load among the pods the req may go to, the first a near one if there is any. */
     private Pod pick(long now, Rq rq) {
-        double part = trialPart(now);
+        double part = trialPart();
         Pod pod = part == 0 ? null : twoChoices(now, rq, random.nextDouble() < part ? onTrial : notOnTrial);
         pod = pod == null ? twoChoices(now, rq, whole) : pod;
         return pod == null ? Fleet.draw(whole.all(), random, DRAWS, p -> allowed(now, rq, p)) : pod;
@@ -389,16 +407,12 @@
 
     /**
      * The trial's pods carry what they will when released, as far as the rules leave room: that proves the
-     * build under its load, and fewer wait for a good one. In doubt they get what verdicts need.
+     * build under its load, and fewer wait for a good one. In doubt they get what verdicts need. Cold pods
+     * and those out of reach don't count: the rest of the trial would carry their load and look slow for it.
      */
-    private double trialPart(long now) {
+    private double trialPart() {
         return rollout.oneWay() && !onTrial.all().isEmpty() ? 1
-                : Math.min(trialPods(now), state == State.NORMAL ? 1 - KEPT : IN_DOUBT);
-    }
-
-    /** The trial's warm pods in parts of those it is to replace: cold ones would leave them the load. */
-    private double trialPods(long now) {
-        return Math.min(1, onTrial.count(p -> !cold(now, p)) / Math.max(1.0, places));
+                : Math.min(trialPods, state == State.NORMAL ? 1 - KEPT : IN_DOUBT);
     }
 
     private Pod twoChoices(long now, Rq rq, Fleet of) {
@@ -441,6 +455,11 @@
             refused.add(now, ending == Ending.CONNECT_FAILED ? 1 : 0);
         }
         p.hear(now, unanswered, ending == Ending.CONNECT_FAILED);
+        if (unanswered || ending == Ending.CONNECT_FAILED) {
+            zone(p).missed(now, p, DARK_PODS);
+        } else {
+            zone(p).heard();
+        }
         if (ending == Ending.OK || unanswered) {
             p.slowness.add(now, tookNs / row.meanNs(now));
             row.times.add(now, tookNs);
@@ -458,7 +477,20 @@
     /** A pod that failed lately rests; then one try at a time shows whether it is back. */
     private boolean fit(long now, Pod p) {
         boolean rested = p.strikes < SICK_STRIKES || now >= p.sickUntilNs && p.open == 0;
-        return rested && !p.silent(now, silentAfterNs);
+        return rested && !p.silent(now, silentAfterNs) && (!dark(p) || zone(p).mayAsk(now));
+    }
+
+    private Zone zone(Pod p) {
+        return zones.computeIfAbsent(p.is.zone(), z -> new Zone());
+    }
+
+    /**
+     * Against a zone that is lost or cut off: with the load spread over many sidecars and pods, finding each
+     * pod out by its own tries takes far longer than the loss may last. Some pods of a zone that gave nothing
+     * in a row stand for all; then a try now and then shows whether it is back. What starts anew is left out.
+     */
+    private boolean dark(Pod p) {
+        return zone(p).dark(p.is.startedNs());
     }
 
     /** What lies at silent pods is called back, to go elsewhere; what may be lost on the way goes twice. */
@@ -469,10 +501,12 @@
             }
             int no = rq.out.nextSetBit(0);
             Pod at = rq.tries.get(no).pod();
-            if (set.limits().cancel() && at.silent(now, silentAfterNs)) {
+            double after = dark(at) ? silentAfterNs / SILENCE_MEANS : silentAfterNs;
+            if (set.limits().cancel() && at.silent(now, after)) {
                 rq.calledBack = true;
                 at.strikes = MOST_STRIKES;
                 at.sickUntilNs = now + SICK_FOR;
+                zone(at).missed(now, at, DARK_PODS);
                 host.cancel(rq.is.id(), no);
             } else if (set.limits().secondCopies() && now >= secondCopyAt(now, rq)) {
                 send(now, rq);
@@ -537,7 +571,7 @@
 
     /** Where a key can't go back, the trial keeps to a part of the keys: their later reqs need room too. */
     private boolean oneWayKey(long now, Rq rq, int build) {
-        double part = Math.min(ONE_WAY_PART * news.capOf(build, rollout), trialPods(now));
+        double part = Math.min(ONE_WAY_PART * news.capOf(build, rollout), trialPods);
         return answeredBy.of(rq.is.key()) == build
                 || new SplittableRandom(rq.is.key()).nextDouble() < part;
     }
@@ -592,14 +626,15 @@
 
     /**
      * The trial's share, less what the earlier build's shifted by: a burst or lost zone is not its doing. But
-     * where that is late beyond what a minor part of its pods, hung, slow or pausing, can do, it slows all.
+     * where that is late beyond what a minor part of its pods, hung, slow or pausing, can do, it slows all;
+     * unless so many pods are out that the rest must be late.
      */
     private double sample(long now, int place, boolean ofLate, Detector d) {
         double share = share(now, trial, place, ofLate);
         boolean reference = earlier.ever(place, ofLate) >= OUTCOME_FLOOR;
         double shift = reference ? share(now, earlier, place, ofLate) - d.mean : 0;
         double apart = Math.max(0, Math.min(1, share - Math.max(0, shift)));
-        if (!ofLate || place < rows.size() || !reference) {
+        if (!ofLate || place < rows.size() || !reference || now < shakenUntilNs) {
             return apart;
         }
         return Math.max(apart, Math.max(middleLate(now), (earlier.late(now, place) - MINOR) / (1 - MINOR)));
@@ -711,29 +746,44 @@
         long age = now - stageSinceNs;
         // The last 'on' takes the earlier pods away: it waits for what the build shows under all the load.
         boolean proven = news.stage() < rollout.shares().size() - 1 || age > rollout.bakeNs() + PROOF_WAIT
-                || trial.ever(rows.size(), true) >= everBefore + PROOF;
+                || trial.ever(rows.size(), true) >= everBefore + proof();
         return state == State.NORMAL && age >= rollout.bakeNs() && proven ? Verdict.ON : Verdict.NONE;
     }
 
+    private double proof() {
+        return Math.max(OUTCOME_FLOOR, PROOF * Math.min(1.0, (double) PROOF_VOTERS / rollout.onVotes()));
+    }
+
     private void vote(long now) {
         Verdict v = verdict(now);
         ballot.want(now, v);
         boolean waits = ballot.asked != null && now < ballot.askedNs + rollout.voteWaitNs() + SECOND
                 || now < ballot.againNs;
         boolean stands = ballot.standsAt(now) == v && ballot.standsAt(now + rollout.voteStandsNs() / 4) == v;
-        if (!waits && !stands && (v == Verdict.NONE || now >= ballot.wantedSinceNs + standInAfter(v))) {
+        if (!waits && !stands && (v == Verdict.NONE || now >= ballot.wantedSinceNs + standInAfter(now, v))) {
             ballot.ask(now);
             host.vote(news.build(), news.stage(), v);
         }
     }
 
-    /** The voters are lowest under a hash of build and stage; each later one stands in after longer. */
-    private long standInAfter(Verdict v) {
+    /**
+     * The voters are lowest under a hash of build and stage; each later one stands in after longer. Where
+     * several must agree to send a build back, on a large fleet all the others together take as long as a few
+     * would, but leave room in what the platform takes from all; where one is enough, any one's mistake would
+     * count. For 'on' the many would outvote those who doubt: only who saw the trial well comes sooner.
+     */
+    private long standInAfter(long now, Verdict v) {
         int needed = v == Verdict.ON ? rollout.onVotes() : v == Verdict.HOLD ? rollout.holdVotes()
                 : rollout.backVotes();
         int voters = rollout.control() == Settings.Control.SINGLE ? VOTERS : needed;
         int before = news.ranked(set.rank(), set.sidecars());
-        return Math.max(0, before - voters + 1) * (v == Verdict.BACK ? STAND_IN_BACK : STAND_IN_ON);
+        double seen = trial.relayed(now, rows.size());
+        double step = v == Verdict.BACK ? STAND_IN_BACK : STAND_IN_ON * PROOF / Math.max(PROOF, seen);
+        if (v == Verdict.BACK && rollout.control() != Settings.Control.SINGLE) {
+            double least = SECOND / (CALLS_PART * Math.max(1, rollout.votesPerSecond()));
+            step = Math.min(step, Math.max(least, step * STAND_INS / (set.sidecars() - voters)));
+        }
+        return (long) (Math.max(0, before - voters + 1) * step);
     }
 
     // ---- What is remembered over a restart.
--- /dev/null
+++ b/core/src/main/java/mulleinlever/Zone.java
@@ -0,0 +1,44 @@
+package mulleinlever;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** A zone as this sidecar's tries know it: which of its pods gave nothing since any of them last did. */
+final class Zone {
+    private static final int LONGEST = 3;
+
+    private final Set<String> missed = new HashSet<>();
+    private long darkSinceNs = Long.MIN_VALUE;
+    private long askNs;
+    private int asked;
+
+    /** Anything that came from there shows that it can be reached. */
+    void heard() {
+        missed.clear();
+        darkSinceNs = Long.MIN_VALUE;
+        asked = 0;
+    }
+
+    void missed(long nowNs, Pod pod, int enough) {
+        missed.add(pod.id);
+        if (darkSinceNs == Long.MIN_VALUE && missed.size() >= enough) {
+            darkSinceNs = nowNs;
+        }
+    }
+
+    /** Whether pods there that have run since then are taken to be out of reach. */
+    boolean dark(long startedNs) {
+        return startedNs < darkSinceNs;
+    }
+
+    boolean mayAsk(long nowNs) {
+        return nowNs >= askNs;
+    }
+
+    /** The next try there is due after a pause that grows and differs by sidecar. */
+    void ask(long nowNs, long firstNs, SplittableRandom random) {
+        long pause = firstNs << Math.min(LONGEST, asked++);
+        askNs = nowNs + pause / 2 + random.nextLong(pause);
+    }
+}
--- a/core/src/test/java/mulleinlever/Bench.java
+++ b/core/src/test/java/mulleinlever/Bench.java
@@ -39,6 +39,19 @@
                 rules, limits, new Settings.Prices(0.02, 0.05, 0.01, 0.05), Settings.ReportSource.OFF, true);
     }
 
+    /** One of a fleet whose platform wants so many votes; the pods lie in two zones, neither of them its own. */
+    static Bench ofMany(int rank, int sidecars, int onVotes, int backVotes) {
+        Settings s = settings(Settings.Control.MAJORITY, false, 0, false, false,
+                List.of(route("get", Settings.Repeat.RETRIABLE, Settings.Scope.ALL)), sidecars, false);
+        Settings.Rollout r = s.rollout();
+        var rollout = new Settings.Rollout(r.control(), false, onVotes, backVotes, 0, r.bakeNs(), r.movesAfterNs(),
+                r.voteStandsNs(), r.voteWaitNs(), 16, r.newsEveryNs(), r.tallyEveryNs(), r.tallySample(),
+                r.complaintShare(), r.shares(), r.caps(), r.windowNs(), r.uncounted(), false, 0, false, false,
+                r.staleBuildPrice(), r.damagePrice());
+        return start(new Settings(rank, sidecars, "c", s.zones(), false, s.stepNs(), s.overShareEarnings(),
+                s.routes(), s.tenants(), rollout, s.rules(), s.limits(), s.prices(), s.reports(), true), rank);
+    }
+
     static Bench start(Settings s, long seed) {
         Bench b = new Bench();
         b.policy = new Policy(s, seed, b.now, b);
--- a/core/src/test/java/mulleinlever/FailuresTest.java
+++ b/core/src/test/java/mulleinlever/FailuresTest.java
@@ -269,4 +269,107 @@
         b.pass(20 * S);
         assertEquals(2, podsKnown(b.policy));
     }
+
+    /** Sends reqs for so long, of which those at pods of the zone that is out find no connection. */
+    private static void serveWithout(Bench b, String zone, int millis) {
+        for (int i = 0; i < millis / 20; i++) {
+            String id = "z" + b.now;
+            b.req(id, "get", 2 * S);
+            for (int no = 0; b.last().rq().equals(id) && !b.answers.containsKey(id) && no < 4; no++) {
+                boolean out = Bench.pod(Bench.number(b.last().pod()), 1, 0).zone().equals(zone);
+                int tries = b.sent.size();
+                b.end(id, no, out ? Ending.CONNECT_FAILED : Ending.OK, out ? 250 * MS : usual(i) * MS);
+                if (!out || b.sent.size() == tries) {
+                    break;
+                }
+            }
+            b.pass(20 * MS);
+        }
+    }
+
+    private static long triesIn(Bench b, int from, String zone) {
+        return b.sent.subList(from, b.sent.size()).stream()
+                .filter(s -> Bench.pod(Bench.number(s.pod()), 1, 0).zone().equals(zone)).count();
+    }
+
+    @Test
+    void lostZoneIsLeftAfterAFewOfManyPodsAndUsedAgainWhenItAnswers() {
+        Bench b = Bench.ofMany(0, 14, 6, 4).news(1, 2, News.Phase.RELEASED, 1);
+        fleet(b, 60, 0);
+        serveWithout(b, "none", 4000);
+        int lost = b.sent.size();
+        serveWithout(b, "b", 4000);
+        assertTrue(triesIn(b, lost, "b") < 15, "tries into the lost zone: " + triesIn(b, lost, "b"));
+        // One answer from there, by a try now and then, and it takes its part again.
+        serveWithout(b, "none", 5000);
+        int back = b.sent.size();
+        serveWithout(b, "none", 2000);
+        assertTrue(triesIn(b, back, "b") > 25, "tries when it is back: " + triesIn(b, back, "b"));
+    }
+
+    @Test
+    void podsThatStartAnewInADarkZoneAreUsedAtOnce() {
+        Bench b = Bench.ofMany(0, 14, 6, 4).news(1, 2, News.Phase.RELEASED, 1);
+        fleet(b, 12, 0);
+        serveWithout(b, "none", 2000);
+        serveWithout(b, "b", 2000);
+        int from = b.sent.size();
+        b.policy.listChanged(b.now, List.of(Bench.pod(1, 1, b.now), Bench.pod(3, 1, b.now)));
+        b.pass(5 * S);
+        serveWithout(b, "none", 500);
+        assertTrue(b.sent.subList(from, b.sent.size()).stream()
+                .anyMatch(s -> List.of(1, 3).contains(Bench.number(s.pod()))));
+    }
+
+    @Test
+    void whatALostZoneSlowsIsNotTheBuildsDoing() {
+        Bench b = Bench.ofMany(0, 14, 6, 4).news(1, 2, News.Phase.RELEASED, 1);
+        serve(b, 8, (p, i) -> usual(i), fleet(b, 30, 0));
+        b.news(2, 1, News.Phase.ON_TRIAL, 0.7);
+        serve(b, 20, (p, i) -> usual(i), fleet(b, 30, 30));
+        serveWithout(b, "b", 2000);
+        for (int i = 0; i < 700; i++) {
+            String id = "slow" + i;
+            b.req(id, "get", 2 * S);
+            if (b.last().rq().equals(id)) {
+                b.end(id, 0, Ending.OK, 3 * usual(i) * MS);
+            }
+            b.pass(20 * MS);
+        }
+        assertTrue(b.votes.stream().noneMatch(v -> v.verdict() == Verdict.BACK));
+    }
+
+    private static long neededVotesAfter(int sidecars, int onVotes, int dead) {
+        News trial = new News(2, 0, News.Phase.ON_TRIAL, 0.2, 0);
+        return IntStream.range(0, sidecars).filter(i -> trial.ranked(i, sidecars) >= dead).mapToLong(i -> {
+            Bench b = Bench.ofMany(i, sidecars, onVotes, 1).pods(4, 1);
+            long from = b.now;
+            b.news(1, 2, News.Phase.RELEASED, 1).news(2, 0, News.Phase.ON_TRIAL, 0.2);
+            b.pass(40 * S);
+            return b.votes.get(0).atNs() - from;
+        }).sorted().skip(onVotes - 1).findFirst().getAsLong();
+    }
+
+    @Test
+    void neededVotesComeSoonThoughManyOfTheFirstVotersAreDead() {
+        // The bake takes a second. On a small fleet one stands in after two more; a large one takes no longer.
+        assertEquals(3 * S, neededVotesAfter(3, 2, 1));
+        assertTrue(neededVotesAfter(14, 6, 4) <= 3 * S, neededVotesAfter(14, 6, 4) / MS + " ms");
+        assertTrue(neededVotesAfter(14, 6, 8) <= 5 * S, neededVotesAfter(14, 6, 8) / MS + " ms");
+    }
+
+    @Test
+    void whoVotesWithManyNeedsLessProofOfItsOwn() {
+        for (int needed : new int[] {2, 6}) {
+            Bench b = Bench.ofMany(0, 14, needed, 4).news(1, 2, News.Phase.RELEASED, 1);
+            fleet(b, 4, 4);
+            b.news(2, 2, News.Phase.ON_TRIAL, 1);
+            for (int i = 0; i < 45; i++) {
+                b.req("r" + i, "get", 2 * S);
+                b.end("r" + i, 0, Ending.OK, 50 * MS);
+            }
+            b.pass(8 * S);
+            assertEquals(needed == 6, b.votes.stream().anyMatch(v -> v.verdict() == Verdict.ON), "needed " + needed);
+        }
+    }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Platform.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Platform.java
@@ -107,6 +107,7 @@
             case HOLD -> "wait";
             case BACK -> "reject";
         };
+        log.say("platform", "vote: build " + build + " stage " + stage + " " + word);
         new Vote("BALLOT " + build + " " + stage + " " + word)
                 .open(address, Math.min(CONNECT_NS, voteWaitNs), voteWaitNs);
     }
