The laboratory's first measurement: what a restarted sidecar loses, in virtual time

Change: module lab: pods, sidecars and clients in virtual time around the real Policy, Keeper and Taking; `make lab` prints the table; what nothing used (a pod's load, a count of events) is left out.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 RUN := $(shell sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build test lint run classes clean
+.PHONY: build test lint run lab classes clean
 
 build:
 	$(BUILD)
@@ -18,6 +18,11 @@
 run: build
 	$(RUN)
 
+# A measurement in virtual time: make lab RUN_LAB="restarts --seeds 5".
+RUN_LAB := restarts
+lab: build
+	java -cp "lab/target/classes:cli/target/lib/*" mulleinlever.lab.Lab $(RUN_LAB)
+
 # Anew after a change of libraries: the classes that start-up loads, which the build puts into a shared archive.
 classes:
 	mvn -q -B -ntp -DskipTests package
--- /dev/null
+++ b/lab/src/main/java/mulleinlever/lab/emu/Agenda.java
@@ -0,0 +1,55 @@
+package mulleinlever.lab.emu;
+
+import java.util.PriorityQueue;
+
+/** What happens in virtual time, in the order of the time and then of the asking: the same on every machine. */
+public final class Agenda {
+    private static final class Entry implements Comparable<Entry> {
+        private final long atNs;
+        private final long no;
+        private final Runnable what;
+
+        Entry(long atNs, long no, Runnable what) {
+            this.atNs = atNs;
+            this.no = no;
+            this.what = what;
+        }
+
+        @Override
+        public int compareTo(Entry other) {
+            return atNs != other.atNs ? Long.compare(atNs, other.atNs) : Long.compare(no, other.no);
+        }
+    }
+
+    private final PriorityQueue<Entry> entries = new PriorityQueue<>(1024);
+    private long nowNs;
+    private long asked;
+
+    public Agenda(long startNs) {
+        this.nowNs = startNs;
+    }
+
+    /** Virtual time, in nanoseconds. */
+    public long now() {
+        return nowNs;
+    }
+
+    /** What is asked for in the past happens now. */
+    public void at(long ns, Runnable what) {
+        entries.add(new Entry(Math.max(ns, nowNs), asked++, what));
+    }
+
+    public void after(long ns, Runnable what) {
+        at(nowNs + ns, what);
+    }
+
+    /** Lets happen all that is due until a time, and goes to that time. */
+    public void runUntil(long ns) {
+        while (!entries.isEmpty() && entries.peek().atNs <= ns) {
+            Entry e = entries.poll();
+            nowNs = e.atNs;
+            e.what.run();
+        }
+        nowNs = Math.max(nowNs, ns);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/mulleinlever/lab/emu/EmuPod.java
@@ -0,0 +1,138 @@
+package mulleinlever.lab.emu;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import mulleinlever.Ending;
+import mulleinlever.PodEntry;
+
+/**
+ * A pod: some cores that serve one line, first come first served. It can be slow, hung, or fail a share of what it
+ * is sent; a pod that was started lately does less.
+ */
+public final class EmuPod {
+    /** One try at the pod, until it is told how that ended. */
+    public static final class Job {
+        private final long workNs;
+        private final Consumer<Ending> done;
+        private boolean cancelled;
+        private boolean runs;
+
+        Job(long workNs, Consumer<Ending> done) {
+            this.workNs = workNs;
+            this.done = done;
+        }
+    }
+
+    private final Agenda agenda;
+    private final int cores;
+    private final int mostWaiting;
+    private final ArrayDeque<Job> line = new ArrayDeque<>();
+    private final List<Job> atHang = new ArrayList<>();
+    private PodEntry entry;
+    private double speed = 1;
+    private boolean hung;
+    private int busy;
+    private long arrived;
+    private int start;
+
+    EmuPod(Agenda agenda, PodEntry entry, int cores, int mostWaiting) {
+        this.agenda = agenda;
+        this.entry = entry;
+        this.cores = cores;
+        this.mostWaiting = mostWaiting;
+    }
+
+    public PodEntry entry() {
+        return entry;
+    }
+
+    /** Another start of the pod, from now on: what lay at the one before is lost without a sign. */
+    void startsAnew(PodEntry next) {
+        entry = next;
+        line.clear();
+        atHang.clear();
+        busy = 0;
+        start++;
+    }
+
+    /** The part of its usual speed that a pod has which was started lately. */
+    private double warmth() {
+        double age = (agenda.now() - entry.startedNs()) / (double) EmuSettings.WARM_AFTER_NS;
+        return entry.startedNs() == 0 || age >= 1 ? 1
+                : EmuSettings.COLD_SHARE + (1 - EmuSettings.COLD_SHARE) * Math.max(0, age);
+    }
+
+    /** 1 is usual; 0.2 takes five times as long. */
+    public void speed(double of) {
+        speed = of;
+    }
+
+    /** Takes what is sent and answers nothing, until it hangs no more. */
+    public void hangs(boolean from) {
+        hung = from;
+        if (!hung) {
+            List<Job> held = List.copyOf(atHang);
+            atHang.clear();
+            held.forEach(j -> finish(j, Ending.OK));
+            serve();
+        }
+    }
+
+    /** How many tries have come. */
+    public long arrived() {
+        return arrived;
+    }
+
+    Job arrive(long workNs, Consumer<Ending> done) {
+        Job job = new Job(workNs, done);
+        arrived++;
+        if (line.size() >= mostWaiting) {
+            done.accept(Ending.FULL);
+            return job;
+        }
+        line.add(job);
+        serve();
+        return job;
+    }
+
+    /** What waits is dropped, what is at work goes on to its end for nothing. */
+    void cancel(Job job) {
+        job.cancelled = true;
+        if (!job.runs) {
+            line.remove(job);
+        }
+    }
+
+    private void serve() {
+        while (!hung && busy < cores && !line.isEmpty()) {
+            Job job = line.poll();
+            job.runs = true;
+            busy++;
+            int in = start;
+            agenda.after((long) (job.workNs / speed / warmth()), () -> {
+                if (in == start) {
+                    ends(job);
+                }
+            });
+        }
+    }
+
+    private void ends(Job job) {
+        if (hung) {
+            // Its core hangs with it.
+            atHang.add(job);
+            return;
+        }
+        finish(job, Ending.OK);
+        serve();
+    }
+
+    private void finish(Job job, Ending ending) {
+        busy--;
+        if (!job.cancelled) {
+            job.done.accept(ending);
+        }
+    }
+}
