--- a/core/src/main/java/mulleinlever/Pod.java
+++ b/core/src/main/java/mulleinlever/Pod.java
@@ -6,6 +6,8 @@
 final class Pod {
     final String id;
     PodEntry is;
+    /** One for all pods that lie there. */
+    Zone zone;
     int open;
     long owesSinceNs;
     long heardNs = Long.MIN_VALUE / 2;
@@ -75,11 +77,12 @@
     }
 
     /** Takes a new line of the list. An id may come back as another machine: its past counts for nothing. */
-    void take(PodEntry entry) {
+    void take(PodEntry entry, Zone in) {
         if (!isThatOf(entry)) {
             strikes = 0;
             coldAtNs = 0;
         }
         is = entry;
+        zone = in;
     }
 }
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -71,6 +71,8 @@
     private static final double PANIC_PART = 0.5;
     /** So many pods of a zone that gave nothing, with nothing heard from it in between, make it dark. */
     private static final int DARK_PODS = 3;
+    /** How often the pause between tries into a dark zone doubles. */
+    private static final int DARK_GROWTH = 3;
     /** Long past any report on it: pods that came and went would else pile up with each release. */
     private static final long FORGET_AFTER = 60 * SECOND;
     /** A pod that owes answers and gave none for so many mean times of the slowest route is silent. */
@@ -202,7 +204,10 @@
     public void listChanged(long now, List<PodEntry> entries) {
         watching = true;
         asksFailed = 0;
-        entries.forEach(e -> pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e));
+        for (PodEntry e : entries) {
+            Zone in = zones.computeIfAbsent(e.zone(), z -> new Zone());
+            pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e, in);
+        }
         if (!told) {
             // Until there is news, all but the lowest build counts as on trial.
             int lowest = pods.values().stream().mapToInt(p -> p.is.build()).min().orElse(0);
@@ -317,7 +322,7 @@
             pod.coldLeft--;
         }
         if (dark(pod)) {
-            zone(pod).ask(now, SICK_FOR, random);
+            pod.zone.ask(now, SICK_FOR, SICK_FOR << DARK_GROWTH, random);
         }
         if (news.onTrial(t.build())) {
             exposure.spend(t.build(), rq.row.at);
@@ -456,9 +461,9 @@
         }
         p.hear(now, unanswered, ending == Ending.CONNECT_FAILED);
         if (unanswered || ending == Ending.CONNECT_FAILED) {
-            zone(p).missed(now, p, DARK_PODS);
+            p.zone.missed(now, p, DARK_PODS);
         } else {
-            zone(p).heard();
+            p.zone.heard();
         }
         if (ending == Ending.OK || unanswered) {
             p.slowness.add(now, tookNs / row.meanNs(now));
@@ -477,11 +482,7 @@
     /** A pod that failed lately rests; then one try at a time shows whether it is back. */
     private boolean fit(long now, Pod p) {
         boolean rested = p.strikes < SICK_STRIKES || now >= p.sickUntilNs && p.open == 0;
-        return rested && !p.silent(now, silentAfterNs) && (!dark(p) || zone(p).mayAsk(now));
-    }
-
-    private Zone zone(Pod p) {
-        return zones.computeIfAbsent(p.is.zone(), z -> new Zone());
+        return rested && !p.silent(now, silentAfterNs) && (!dark(p) || p.zone.mayAsk(now));
     }
 
     /**
@@ -489,8 +490,8 @@
      * pod out by its own tries takes far longer than the loss may last. Some pods of a zone that gave nothing
      * in a row stand for all; then a try now and then shows whether it is back. What starts anew is left out.
      */
-    private boolean dark(Pod p) {
-        return zone(p).dark(p.is.startedNs());
+    private static boolean dark(Pod p) {
+        return p.zone.dark(p.is.startedNs());
     }
 
     /** What lies at silent pods is called back, to go elsewhere; what may be lost on the way goes twice. */
@@ -506,7 +507,7 @@
                 rq.calledBack = true;
                 at.strikes = MOST_STRIKES;
                 at.sickUntilNs = now + SICK_FOR;
-                zone(at).missed(now, at, DARK_PODS);
+                at.zone.missed(now, at, DARK_PODS);
                 host.cancel(rq.is.id(), no);
             } else if (set.limits().secondCopies() && now >= secondCopyAt(now, rq)) {
                 send(now, rq);
--- a/core/src/main/java/mulleinlever/Zone.java
+++ b/core/src/main/java/mulleinlever/Zone.java
@@ -6,18 +6,16 @@
 
 /** A zone as this sidecar's tries know it: which of its pods gave nothing since any of them last did. */
 final class Zone {
-    private static final int LONGEST = 3;
-
     private final Set<String> missed = new HashSet<>();
     private long darkSinceNs = Long.MIN_VALUE;
     private long askNs;
-    private int asked;
+    private long pauseNs;
 
     /** Anything that came from there shows that it can be reached. */
     void heard() {
         missed.clear();
         darkSinceNs = Long.MIN_VALUE;
-        asked = 0;
+        pauseNs = 0;
     }
 
     void missed(long nowNs, Pod pod, int enough) {
@@ -37,8 +35,8 @@
     }
 
     /** The next try there is due after a pause that grows and differs by sidecar. */
-    void ask(long nowNs, long firstNs, SplittableRandom random) {
-        long pause = firstNs << Math.min(LONGEST, asked++);
-        askNs = nowNs + pause / 2 + random.nextLong(pause);
+    void ask(long nowNs, long firstNs, long mostNs, SplittableRandom random) {
+        pauseNs = pauseNs == 0 ? firstNs : Math.min(mostNs, 2 * pauseNs);
+        askNs = nowNs + pauseNs / 2 + random.nextLong(pauseNs);
     }
 }
