Log why and when each discovery watch ended, each list taken, and the list's age

Each watch now has a number and logs its opening and its end with the reason (typed: EndReason), the times of connecting and of the first and last byte, bytes and lines, and when the list was last confirmed. Each list that is taken is logged with its generation. The count line ends with list_age. An answer with another status is an ordinary answer and no longer a fault with its place in our source. Nothing is decided differently.

--- a/sidecar/src/main/java/mulleinlever/sidecar/Chunked.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Chunked.java
@@ -50,7 +50,7 @@
         switch (part) {
             case STATUS -> {
                 if (!text.matches("HTTP/1\\.[01] 200( .*)?")) {
-                    throw new Fault("discovery answers " + text);
+                    throw new UnexpectedStatus(text);
                 }
                 part = Part.HEADERS;
             }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Counts.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Counts.java
@@ -67,7 +67,7 @@
     }
 
     /** Says what there is to say, and begins anew. */
-    void tell(Policy.Sight sight, int clients, int links) {
+    void tell(Policy.Sight sight, int clients, int links, long listAgeNs) {
         StringBuilder b = new StringBuilder();
         for (What w : What.values()) {
             put(b, word(w), of[w.ordinal()]);
@@ -80,9 +80,9 @@
         stories = 0;
         if (b.length() > 0) {
             log.say("count", b.append(String.format(Locale.ROOT, "clients=%d links=%d room=%.1f open=%d first=%d "
-                    + "further=%d ease=%.2f ready=%d fit=%d cold=%d dark=%d", clients, links, sight.room(), sight.open(),
+                    + "further=%d ease=%.2f ready=%d fit=%d cold=%d dark=%d list_age=%.1f", clients, links, sight.room(), sight.open(),
                     sight.firstTries(), sight.furtherTries(), sight.ease(), sight.ready(), sight.fit(), sight.cold(),
-                    sight.dark())).toString());
+                    sight.dark(), listAgeNs / 1e9)).toString());
         }
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -1,6 +1,7 @@
 package mulleinlever.sidecar;
 
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import mulleinlever.Policy;
 import mulleinlever.settings.Json;
 import mulleinlever.settings.JsonFields;
@@ -20,6 +21,9 @@
     private Policy policy;
     private long version;
     private Watch watch;
+    private int watches;
+    /** When the last line of a watch came, which is when the list was last known to be true; 0 before any. */
+    private long heardNs;
 
     Discovery(Net net, Clock clock, Log log, InetSocketAddress address, Pods pods) {
         this.net = net;
@@ -35,6 +39,8 @@
 
     /** Takes a list, from the configuration or from a watch. */
     void take(PodList list) {
+        log.say("discovery", String.format(Locale.ROOT, "list: generation %d after %d, %s, %d entries",
+                list.version(), version, list.whole() ? "whole" : "changes", list.entries().size()));
         version = list.version();
         pods.learn(list);
         if (list.whole()) {
@@ -50,12 +56,18 @@
         return version;
     }
 
+    /** How long ago the list was last known to be true, in nanoseconds; -1 before any watch told of it. */
+    long ageNs() {
+        return heardNs == 0 ? -1 : clock.now() - heardNs;
+    }
+
     /** Opens a watch in place of any before it, of whose end the module, having asked anew, need not hear. */
     void watch() {
         if (watch != null) {
             watch.drop();
         }
-        watch = new Watch();
+        watch = new Watch(++watches);
+        log.say("discovery", watch + " opens at generation " + version);
         watch.open(address, CONNECT_NS, SILENT_NS);
     }
 
@@ -68,8 +80,16 @@
     }
 
     private final class Watch extends Chunked {
-        Watch() {
+        private final int number;
+
+        Watch(int number) {
             super(net, LONGEST, log, "discovery");
+            this.number = number;
+        }
+
+        @Override
+        public String toString() {
+            return "watch " + number;
         }
 
         @Override
@@ -81,6 +101,7 @@
         @Override
         void line(String text) {
             limit(SILENT_NS);
+            heardNs = clock.now();
             if (!text.isBlank()) {
                 take(PodList.read(new JsonFields("discovery: ", Json.read(text))));
             }
@@ -88,12 +109,13 @@
 
         @Override
         void complete() {
-            ended();
+            ended(EndReason.COMPLETE);
         }
 
         @Override
-        void end() {
-            log.say("discovery", "the watch has ended");
+        void end(EndReason reason) {
+            log.say("discovery", this + " has ended: " + reason + " " + history() + ", list "
+                    + (heardNs == 0 ? "never confirmed" : "confirmed " + ageNs() / 1_000_000 + " ms ago"));
             policy.listFailed(clock.now());
         }
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
@@ -10,11 +10,33 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.concurrent.Future;
 import mulleinlever.settings.Fault;
 
 /** A connection of ours that begins with what we say; then lines of text arrive, split anywhere. */
 abstract class Lines extends ChannelInboundHandlerAdapter {
+    /** Why a connection ended. */
+    enum EndReason { CONNECT_FAILED, SILENT, CLOSED_BY_PEER, RESET, STATUS, UNREADABLE, COMPLETE }
+
+    /** An HTTP answer whose status is not the one that was asked for. */
+    static final class UnexpectedStatus extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        UnexpectedStatus(String statusLine) {
+            super(statusLine);
+        }
+    }
+
+    /** What happened on one connection so far, for the log; nanoseconds, 0 where it has not happened. */
+    private long openedNs;
+    private long connectedNs;
+    private long firstByteNs;
+    private long lastByteNs;
+    private long bytesRead;
+    private int linesRead;
+    private EndReason brokenBy = EndReason.CLOSED_BY_PEER;
+
     private final Net net;
     private final int longest;
     private final Log log;
@@ -38,15 +60,16 @@
     abstract void line(String text);
 
     /** Called once, when the connection has ended for whatever reason but {@link #drop}. */
-    abstract void end();
+    abstract void end(EndReason reason);
 
     final void open(InetSocketAddress to, long withinNs, long limitNs) {
+        openedNs = System.nanoTime();
         limit(limitNs);
         ChannelFuture f = net.connect(to, withinNs, this);
         channel = f.channel();
         f.addListener(done -> {
             if (!done.isSuccess()) {
-                ended();
+                ended(EndReason.CONNECT_FAILED);
             }
         });
     }
@@ -56,7 +79,7 @@
         if (limit != null) {
             limit.cancel(false);
         }
-        limit = net.after(ns, this::ended);
+        limit = net.after(ns, () -> ended(EndReason.SILENT));
     }
 
     /** Without a word about it: whoever drops it needs none. */
@@ -68,13 +91,29 @@
         channel.close();
     }
 
-    final void ended() {
+    final void ended(EndReason reason) {
         if (!over) {
             drop();
-            end();
+            end(reason);
         }
     }
 
+    /** How long the peer let us wait for the first byte of its answer, until now if none came; nanoseconds. */
+    final long waitedNs() {
+        return (firstByteNs > 0 ? firstByteNs : System.nanoTime()) - openedNs;
+    }
+
+    /** What happened on this connection and when, in milliseconds since it began to open. */
+    final String history() {
+        return String.format(Locale.ROOT, "after %d ms (connected %s, first byte %s, last byte %s; %d bytes, %d lines)",
+                (System.nanoTime() - openedNs) / 1_000_000, sinceOpened(connectedNs), sinceOpened(firstByteNs),
+                sinceOpened(lastByteNs), bytesRead, linesRead);
+    }
+
+    private String sinceOpened(long atNs) {
+        return atNs == 0 ? "never" : (atNs - openedNs) / 1_000_000 + " ms";
+    }
+
     /** What arrives is text already, unless a transfer coding lies around it. */
     void bytes(ByteBuf in) {
         while (in.isReadable()) {
@@ -87,6 +126,7 @@
             int end = length > 0 && line[length - 1] == '\r' ? length - 1 : length;
             length = 0;
             if (!over) {
+                linesRead++;
                 line(new String(line, 0, end, StandardCharsets.UTF_8));
             }
             return;
@@ -103,12 +143,16 @@
     @Override
     public final void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        connectedNs = System.nanoTime();
         ctx.writeAndFlush(Unpooled.copiedBuffer(says(), StandardCharsets.US_ASCII));
     }
 
     @Override
     public final void channelRead(ChannelHandlerContext ctx, Object msg) {
         ByteBuf in = (ByteBuf) msg;
+        lastByteNs = System.nanoTime();
+        firstByteNs = firstByteNs == 0 ? lastByteNs : firstByteNs;
+        bytesRead += in.readableBytes();
         try {
             bytes(in);
         } finally {
@@ -118,15 +162,18 @@
 
     @Override
     public final void channelInactive(ChannelHandlerContext ctx) {
-        ended();
+        ended(brokenBy);
     }
 
     /** What can't be read costs the connection, and what it was for is asked anew. */
     @Override
     public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
-            log.say(about, cause.toString());
+            brokenBy = EndReason.RESET;
+        } else if (cause instanceof UnexpectedStatus) {
+            brokenBy = EndReason.STATUS;
         } else {
+            brokenBy = EndReason.UNREADABLE;
             log.fault(about, cause);
         }
         ctx.close();
--- a/sidecar/src/main/java/mulleinlever/sidecar/Platform.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Platform.java
@@ -149,7 +149,8 @@
 
         /** With no answer it may count all the same, which the module allows for. */
         @Override
-        void end() {
+        void end(EndReason reason) {
+            log.say("platform", "no answer to the vote: " + reason + " " + history());
             policy.voteAnswered(clock.now(), false);
         }
     }
@@ -179,8 +180,8 @@
         }
 
         @Override
-        void end() {
-            log.say("platform", "the news have ended");
+        void end(EndReason reason) {
+            log.say("platform", "the news have ended: " + reason + " " + history());
             net.after(again.endedNs(clock.now()), () -> {
                 // Unless the platform has moved meanwhile: news heard twice would count twice.
                 if (listener == this) {
--- a/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
@@ -63,6 +63,6 @@
     void sweep() {
         clients.sweep(clock.now());
         pods.sweep(clock.now());
-        counts.tell(policy.sight(clock.now()), clients.count(), pods.links());
+        counts.tell(policy.sight(clock.now()), clients.count(), pods.links(), discovery.ageNs());
     }
 }
--- a/sidecar/src/test/java/mulleinlever/sidecar/DecodersTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/DecodersTest.java
@@ -194,7 +194,7 @@
             }
 
             @Override
-            void end() {
+            void end(EndReason reason) {
                 got.add("ended");
             }
         };
