--- /dev/null
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
@@ -0,0 +1,95 @@
+package mulleinlever.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A sidecar whose discovery can be reached but serves nobody, while the servers change. */
+@Timeout(90)
+class StaleListTest extends StandIns {
+    private static final long SECOND = 1_000_000_000L;
+    /** A change counts as told this long after discovery had it, whether it arrived or not. */
+    private static final long TOLD_WITHIN_NS = 6 * SECOND;
+    /** {@code stopSendingWithinNs} of the tests' configuration. */
+    private static final long GRACE_NS = SECOND / 4;
+    private static final long CALL_WAITS_MS = 1_000;
+
+    /** Whether each call waits in line until discovery gives it up. */
+    private volatile boolean crowded;
+
+    StaleListTest() throws IOException {
+        discovery = new Listener(this::discoverInLine);
+    }
+
+    private void discoverInLine(DataInputStream in, DataOutputStream out) throws Exception {
+        if (!crowded) {
+            discover(in, out);
+            return;
+        }
+        discovery.told.add(line(in));
+        while (!line(in).isEmpty()) { }
+        Thread.sleep(CALL_WAITS_MS);
+        out.writeBytes("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    private void crowd() throws IOException {
+        crowded = true;
+        for (var watch : discovery.open) {
+            watch.close();
+        }
+    }
+
+    /** Asks every 20 ms until then; how many of the answers were rows, and how many requests there were. */
+    private int[] askUntil(Client client, long endNs) throws Exception {
+        int[] served = new int[2];
+        while (System.nanoTime() < endNs) {
+            served[0] += client.ask(get("1", 800)).equals("TDvC") ? 1 : 0;
+            served[1]++;
+            Thread.sleep(20);
+        }
+        return served;
+    }
+
+    // Report abbe30: requests went to servers that had been removed, by a list that discovery did not confirm.
+    @Test
+    void aServerThatLeftIsNotUsedOnceItsRemovalCountsAsToldThoughNoListArrived() throws Exception {
+        List<Long> sentToP0 = new CopyOnWriteArrayList<>();
+        boolean[] drains = {false};
+        Answers recorded = (q, out) -> {
+            sentToP0.add(System.nanoTime());
+            return drains[0] ? refuse(out, "53300") : give(out, "v");
+        };
+        Listener leaving = pod(recorded);
+        pod((q, out) -> give(out, "v"));
+        start();
+        until(() -> discovery.told.size() == 1);
+        try (Client client = new Client()) {
+            askUntil(client, System.nanoTime() + SECOND);
+            assertFalse(sentToP0.isEmpty());
+            // It drains, ends, and comes back before discovery lists it again: nothing of it reaches the sidecar.
+            crowd();
+            long changedNs = System.nanoTime();
+            drains[0] = true;
+            askUntil(client, changedNs + SECOND);
+            leaving.close();
+            int[] meanwhile = askUntil(client, changedNs + 5 * SECOND);
+            assertTrue(meanwhile[0] > 0.9 * meanwhile[1], meanwhile[0] + " of " + meanwhile[1]);
+            drains[0] = false;
+            pods.get(0).reopen();
+            int[] after = askUntil(client, changedNs + 14 * SECOND);
+            long lastNs = sentToP0.get(sentToP0.size() - 1) - changedNs;
+            assertTrue(lastNs <= TOLD_WITHIN_NS + GRACE_NS, "sent " + lastNs / 1_000_000 + " ms after the change");
+            // The other server answers all the while, which shows that it has not left.
+            assertTrue(after[0] > 0.9 * after[1], after[0] + " of " + after[1]);
+        }
+        assertEquals(0, logged().lines().filter(l -> l.contains("fault")).count(), logged());
+    }
+}
