--- /dev/null
+++ b/core/src/main/java/mulleinlever/ListLease.java
@@ -0,0 +1,70 @@
+package mulleinlever;
+
+/**
+ * Decides which servers of the list may be sent to. A change of the list counts as told some time after it was made,
+ * whether or not it arrived. While nobody confirms the list, every server on it may therefore be used for that long
+ * only; afterwards only those that have shown since, by serving a request, that they had not left when it was sent.
+ * Times are nanoseconds of the monotonic clock.
+ */
+final class ListLease {
+    /** From a change to when it counts as told at the latest. */
+    private static final long TOLD_AFTER_NS = 6_000_000_000L;
+    /** The same, for all changes, from a move to another discovery. */
+    private static final long TOLD_AFTER_MOVE_NS = 4_000_000_000L;
+    /** The process may be held up for so long between reading its clock and writing. */
+    private static final long HELD_UP_NS = 150_000_000L;
+
+    private final long toldAfterNs;
+    private final long slackNs;
+    private boolean confirmed;
+    private boolean moved;
+    private long confirmedNs;
+
+    /**
+     * @param askWithinNs how long a sidecar may go without asking before changes count as told
+     * @param graceNs from when a change counts as told until sending has to stop
+     * @param connectNs how long an attempt may wait for its connection before it is written
+     */
+    ListLease(long askWithinNs, long graceNs, long connectNs) {
+        this.toldAfterNs = Math.min(TOLD_AFTER_NS, askWithinNs);
+        this.slackNs = graceNs - connectNs - HELD_UP_NS;
+    }
+
+    /** The list is true, and changes will be told as they are made. */
+    void confirmed(long nowNs) {
+        confirmed = true;
+        moved = false;
+        confirmedNs = nowNs;
+    }
+
+    /** Changes made after that moment may not have been told. */
+    void unconfirmedSince(long sinceNs) {
+        confirmed = false;
+        confirmedNs = sinceNs;
+    }
+
+    /** What was not told before is to be asked for elsewhere, and counts as told sooner. */
+    void moved() {
+        confirmed = false;
+        moved = true;
+    }
+
+    /** Whether attempts that begin now may go to that server. */
+    boolean covers(long nowNs, Pod server) {
+        long lengthNs = (moved ? Math.min(toldAfterNs, TOLD_AFTER_MOVE_NS) : toldAfterNs) + slackNs;
+        return confirmed || nowNs < Math.max(confirmedNs, server.servedSentNs) + lengthNs;
+    }
+
+    /** A server that was sent a request at that time has served it. */
+    void served(Pod server, long sentNs) {
+        // A connection that broke since may mean that another process listens there, which nobody has told of.
+        if (confirmed || server.brokeNs <= confirmedNs) {
+            server.servedSentNs = Math.max(server.servedSentNs, sentNs);
+        }
+    }
+
+    /** A connection to the server could not be made or broke. */
+    void broke(Pod server, long nowNs) {
+        server.brokeNs = nowNs;
+    }
+}
--- a/core/src/main/java/mulleinlever/Pod.java
+++ b/core/src/main/java/mulleinlever/Pod.java
@@ -11,6 +11,9 @@
     int open;
     long owesSinceNs;
     long heardNs = Long.MIN_VALUE / 2;
+    /** When the last request that it has served was sent, and when a connection to it last failed. */
+    long servedSentNs = Long.MIN_VALUE / 2;
+    long brokeNs = Long.MIN_VALUE / 2;
     int strikes;
     long sickUntilNs;
     final Mean slowness;
@@ -79,6 +82,7 @@
     /** Takes a new line of the list. An id may come back as another machine: its past counts for nothing. */
     void take(PodEntry entry, Zone in) {
         if (!isThatOf(entry)) {
+            servedSentNs = Long.MIN_VALUE / 2;
             strikes = 0;
             coldAtNs = 0;
         }
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -123,8 +123,11 @@
     private final List<String> routes = new ArrayList<>();
     private final Map<String, Pod> pods = new LinkedHashMap<>();
     private final Map<String, Zone> zones = new HashMap<>();
+    private final ListLease lease;
     // Surveyed at each change and tick, so that no req costs more on a larger fleet.
-    private Fleet whole = new Fleet(List.of(), "");
+    private Fleet listed = new Fleet(List.of(), "");
+    /** Those of the listed that may be sent to: all while discovery confirms the list. */
+    private Fleet whole = listed;
     private Fleet onTrial = whole;
     private Fleet notOnTrial = whole;
     private int places;
@@ -168,6 +171,8 @@
         this.host = host;
         this.random = new SplittableRandom(seed);
         this.room = new Room(set.sidecars());
+        this.lease = new ListLease(set.rules().askWithinNs(), set.rules().stopSendingWithinNs(),
+                set.limits().connectTimeoutNs());
         this.exposure = new Exposure(rollout, set.routes().size());
         for (Settings.Route r : set.routes()) {
             rows.put(r.name(), new Row(r, rows.size(), 2 * MEASURE_HALF_LIFE, FIRST_MEAN));
@@ -215,18 +220,31 @@
     public void listConfirmed(long now) {
         watching = true;
         asksFailed = 0;
+        lease.confirmed(now);
+    }
+
+    /** Since then nobody has confirmed the list; until that is mended its servers may be used for a while only. */
+    public void listUnconfirmed(long sinceNs) {
+        lease.unconfirmedSince(sinceNs);
+    }
+
+    /** Another discovery is asked from now on, which has not confirmed the list yet. */
+    public void listMoved(long sinceNs) {
+        lease.unconfirmedSince(sinceNs);
+        lease.moved();
     }
 
     private void survey(long now) {
         pods.values().removeIf(p -> p.goneFor(now) > FORGET_AFTER);
-        whole = new Fleet(pods.values().stream().filter(Pod::ready).toList(), set.zone());
+        listed = new Fleet(pods.values().stream().filter(Pod::ready).toList(), set.zone());
+        whole = listed.only(p -> lease.covers(now, p));
         onTrial = whole.only(p -> news.onTrial(p.is.build()));
         notOnTrial = whole.only(p -> !news.onTrial(p.is.build()));
         onTrial.all().forEach(p -> exposure.of(p.is.build()));
         places = onTrial.all().isEmpty() ? 0 : Math.max(places, notOnTrial.all().size());
         double slowest = rows.values().stream().mapToDouble(r -> r.meanNs(now)).max().orElse(0);
         silentAfterNs = SILENCE_MEANS * slowest;
-        room.pods(now, whole.all().size());
+        room.pods(now, listed.all().size());
         // Pods that take no more connections look like dead ones; either way what answered lately serves.
         linksScarce = refused.read(now, 0, 4) > SCARCE && whole.count(p -> linked(now, p)) > room.open();
         // Pods that can't be reached would not help those that can.
@@ -352,6 +370,11 @@
         if (ending != Ending.MOOT) {
             measure(now, rq.row, t, ending, tookNs);
         }
+        if (ending == Ending.OK) {
+            lease.served(t.pod(), t.sentNs());
+        } else if (ending == Ending.CONNECT_FAILED || ending == Ending.RESET) {
+            lease.broke(t.pod(), now);
+        }
         // A try called back late was late: else a slow build would hide behind the rescue of its reqs.
         if (ending != Ending.MOOT && (ending != Ending.CANCELLED || tookNs > rq.row.lateNs)) {
             weigh(now, rq.row, t, ending, tookNs);
@@ -444,7 +467,7 @@
     }
 
     private boolean allowed(long now, Rq rq, Pod p) {
-        return p.ready() && rq.mayGoTo(p.is) && exposureRoom(now, rq, p) && coldRoom(now, p);
+        return p.ready() && lease.covers(now, p) && rq.mayGoTo(p.is) && exposureRoom(now, rq, p) && coldRoom(now, p);
     }
 
     private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
@@ -539,7 +562,7 @@
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
         // What each pod would complete a second from here if all did alike; before any did, what comes in.
         double all = completed.perSecond(now) > 0 ? completed.perSecond(now) : taken.perSecond(now);
-        double rate = can * all * p.is.weight() / whole.weight();
+        double rate = can * all * p.is.weight() / listed.weight();
         double most = Math.max(1, rate * set.rules().fallNs() / SECOND);
         return p.saveCold(now, rate, most, random) >= 1;
     }
@@ -774,11 +797,11 @@
 
     /** What it goes by just now, for a log. */
     public record Sight(double room, int open, int firstTries, int furtherTries, double ease, int ready,
-            long fit, long cold, long dark) { }
+            int usable, long fit, long cold, long dark) { }
 
     public Sight sight(long now) {
         return new Sight(room.most(), room.open(), firstTries.size(), furtherTries.size(), room.ease(now),
-                whole.all().size(), whole.count(p -> fit(now, p)), whole.count(p -> cold(now, p)),
+                listed.all().size(), whole.all().size(), whole.count(p -> fit(now, p)), whole.count(p -> cold(now, p)),
                 whole.count(Policy::dark));
     }
 
@@ -836,7 +859,7 @@
             case "tick" -> {
                 host.timer(now + TICK, token);
                 survey(now);
-                room.adjust(now, whole.all().size());
+                room.adjust(now, listed.all().size());
                 doubt.look(now, held.values(), news);
                 rescue(now);
                 if (set.listMustBeAsked() && !watching && now >= askAgainNs) {
--- /dev/null
+++ b/core/src/test/java/mulleinlever/ListLeaseTest.java
@@ -0,0 +1,63 @@
+package mulleinlever;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** The lease of the list against a model that goes through all that happened to one server. */
+class ListLeaseTest {
+    private static final long MS = 1_000_000L;
+    private static final long LENGTH_MS = 6_000 + 1_000 - 250 - 150;
+    private static final long MOVED_LENGTH_MS = LENGTH_MS - 2_000;
+
+    // Report abbe30: a list was gone by for as long as no other came, whatever its age.
+    @Test
+    void aServerIsUsedOnlyWhileItCantCountAsToldThatItLeft() {
+        for (int seed = 0; seed < 200; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            var lease = new ListLease(10_000 * MS, 1_000 * MS, 250 * MS);
+            Pod server = new Pod(Bench.pod(0, 1, 0), MS);
+            lease.confirmed(0);
+            boolean confirmed = true;
+            boolean moved = false;
+            boolean broke = false;
+            long trueMs = 0;
+            for (long ms = 1; ms < 40_000; ms += 1 + random.nextInt(400)) {
+                switch (random.nextInt(40)) {
+                    case 0, 1 -> {
+                        lease.confirmed(ms * MS);
+                        confirmed = true;
+                        moved = false;
+                        broke = false;
+                        trueMs = ms;
+                    }
+                    case 2, 3, 4 -> {
+                        lease.unconfirmedSince(Math.max(0, ms - 2_000) * MS);
+                        confirmed = false;
+                        trueMs = Math.max(0, ms - 2_000);
+                        server.servedSentNs = Long.MIN_VALUE / 2;
+                        broke = false;
+                        server.brokeNs = Long.MIN_VALUE / 2;
+                    }
+                    case 5 -> {
+                        lease.moved();
+                        confirmed = false;
+                        moved = true;
+                    }
+                    case 6, 7 -> {
+                        lease.broke(server, ms * MS);
+                        broke = true;
+                    }
+                    case 8, 9, 10, 11, 12 -> {
+                        lease.served(server, (ms - 300) * MS);
+                        trueMs = confirmed || !broke ? Math.max(trueMs, ms - 300) : trueMs;
+                    }
+                    default -> { }
+                }
+                boolean expected = confirmed || ms < trueMs + (moved ? MOVED_LENGTH_MS : LENGTH_MS);
+                assertEquals(expected, lease.covers(ms * MS, server), "seed " + seed + " at " + ms + " ms");
+            }
+        }
+    }
+}
--- a/lab/src/main/java/mulleinlever/lab/FleetLog.java
+++ b/lab/src/main/java/mulleinlever/lab/FleetLog.java
@@ -32,7 +32,7 @@
     private static final Pattern LINE = Pattern.compile("\\s*([0-9.]+)\\s+(?:([0-9.]+)\\s+)?([a-z]+): (.*)");
     private static final Pattern PAIR = Pattern.compile("([a-z_]+)=(-?[0-9.]+)");
     /** What stands at a moment, where the rest are counts since the line before. */
-    private static final List<String> STANDS = List.of("clients", "links", "room", "open", "first", "further", "ready",
+    private static final List<String> STANDS = List.of("clients", "links", "room", "open", "first", "further", "ready", "usable",
             "fit", "cold", "dark", "ease", "list_age");
 
     private final TreeMap<Long, Map<String, Double>> seconds = new TreeMap<>();
--- a/sidecar/src/main/java/mulleinlever/sidecar/Counts.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Counts.java
@@ -80,8 +80,8 @@
         stories = 0;
         if (b.length() > 0) {
             log.say("count", b.append(String.format(Locale.ROOT, "clients=%d links=%d room=%.1f open=%d first=%d "
-                    + "further=%d ease=%.2f ready=%d fit=%d cold=%d dark=%d list_age=%.1f", clients, links, sight.room(), sight.open(),
-                    sight.firstTries(), sight.furtherTries(), sight.ease(), sight.ready(), sight.fit(), sight.cold(),
+                    + "further=%d ease=%.2f ready=%d usable=%d fit=%d cold=%d dark=%d list_age=%.1f", clients, links, sight.room(), sight.open(),
+                    sight.firstTries(), sight.furtherTries(), sight.ease(), sight.ready(), sight.usable(), sight.fit(), sight.cold(),
                     sight.dark(), listAgeNs / 1e9)).toString());
         }
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -22,8 +22,9 @@
     private long version;
     private Watch watch;
     private int watches;
-    /** When the last line of a watch came, which is when the list was last known to be true; 0 before any. */
+    /** When the last line of a watch came, which is when the list was last known to be true; the start before any. */
     private long heardNs;
+    private boolean heard;
 
     Discovery(Net net, Clock clock, Log log, InetSocketAddress address, Pods pods) {
         this.net = net;
@@ -31,14 +32,21 @@
         this.log = log;
         this.address = address;
         this.pods = pods;
+        this.heardNs = clock.now();
     }
 
     void reportsTo(Policy decides) {
         this.policy = decides;
     }
 
-    /** Takes a list, from the configuration or from a watch. */
-    void take(PodList list) {
+    /** Takes the list of the configuration, which nobody has confirmed yet. */
+    void takeKnown(PodList known) {
+        take(known);
+        policy.listUnconfirmed(heardNs);
+    }
+
+    /** Takes a list from a watch. */
+    private void take(PodList list) {
         log.say("discovery", String.format(Locale.ROOT, "list: generation %d after %d, %s, %d entries",
                 list.version(), version, list.whole() ? "whole" : "changes", list.entries().size()));
         version = list.version();
@@ -56,9 +64,9 @@
         return version;
     }
 
-    /** How long ago the list was last known to be true, in nanoseconds; -1 before any watch told of it. */
+    /** How long ago the list was last known to be true, in nanoseconds; before any watch told of it, since the start. */
     long ageNs() {
-        return heardNs == 0 ? -1 : clock.now() - heardNs;
+        return clock.now() - heardNs;
     }
 
     /** Opens a watch in place of any before it, of whose end the module, having asked anew, need not hear. */
@@ -75,6 +83,7 @@
     void moved(InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
+            policy.listMoved(heardNs);
             watch();
         }
     }
@@ -102,6 +111,7 @@
         void line(String text) {
             limit(SILENT_NS);
             heardNs = clock.now();
+            heard = true;
             if (text.isBlank()) {
                 policy.listConfirmed(heardNs);
             } else {
@@ -117,7 +127,8 @@
         @Override
         void end(EndReason reason) {
             log.say("discovery", this + " has ended: " + reason + " " + history() + ", list "
-                    + (heardNs == 0 ? "never confirmed" : "confirmed " + ageNs() / 1_000_000 + " ms ago"));
+                    + (heard ? "confirmed " : "never confirmed, taken ") + ageNs() / 1_000_000 + " ms ago");
+            policy.listUnconfirmed(heardNs);
             policy.listFailed(clock.now());
         }
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
@@ -40,7 +40,7 @@
         route.asks(policy);
         discovery.reportsTo(policy);
         platform.reportsTo(policy);
-        discovery.take(config.known());
+        discovery.takeKnown(config.known());
         policy.news(clock.now(), config.news());
         admit = new Admit(set, book, route);
     }
--- a/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
@@ -58,6 +58,24 @@
         return served;
     }
 
+    // Report abbe30: so did a process that had started with an old list and was never told another.
+    @Test
+    void aProcessThatWasNeverToldAListUsesTheOneItStartedWithForAWhileOnly() throws Exception {
+        crowded = true;
+        Listener returns = pod((q, out) -> give(out, "v"));
+        pod((q, out) -> give(out, "v"));
+        returns.close();
+        start();
+        long startedNs = System.nanoTime();
+        try (Client client = new Client()) {
+            int[] served = askUntil(client, startedNs + TOLD_WITHIN_NS + GRACE_NS);
+            pods.get(0).reopen();
+            int[] after = askUntil(client, startedNs + 10 * SECOND);
+            assertEquals(0, returns.told.size());
+            assertTrue(served[0] + after[0] > 0.9 * (served[1] + after[1]), served[0] + " and " + after[0]);
+        }
+    }
+
     // A watch opened anew that has nothing new to tell was given up every four seconds, one more call each time.
     @Test
     void aWatchThatStandsIsKeptThoughNothingChanges() throws Exception {
