A list that comes indented, over several lines, is read as the one object it is

Each line of a watch was read as an object of its own, so the first line of an indented list was a fault that ended the watch; the next watch brought the same list again, and the sidecar never took it. JsonObjects puts an object together from its lines, bounded in length; the list counts as confirmed only once it was applied.

--- a/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -90,6 +90,7 @@
 
     private final class Watch extends Chunked {
         private final int number;
+        private final JsonObjects objects = new JsonObjects(LONGEST);
 
         Watch(int number) {
             super(net, LONGEST, log, "discovery");
@@ -110,13 +111,17 @@
         @Override
         void line(String text) {
             limit(SILENT_NS);
-            heardNs = clock.now();
-            heard = true;
-            if (text.isBlank()) {
-                policy.listConfirmed(heardNs);
+            String object = objects.add(text);
+            if (object == null) {
+                return;
+            }
+            if (object.isBlank()) {
+                policy.listConfirmed(clock.now());
             } else {
-                take(PodList.read(new JsonFields("discovery: ", Json.read(text))));
+                take(PodList.read(new JsonFields("discovery: ", Json.read(object))));
             }
+            heardNs = clock.now();
+            heard = true;
         }
 
         @Override
--- a/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
@@ -76,6 +76,23 @@
         }
     }
 
+    // An indented list was taken for a faulty one: it ended the watch, and the next brought the same again.
+    @Test
+    void anIndentedListIsTakenLikeAnyOther() throws Exception {
+        Listener leaving = pod((q, out) -> give(out, "v"));
+        pod((q, out) -> give(out, "v"));
+        start();
+        try (Client client = new Client()) {
+            askUntil(client, System.nanoTime() + SECOND / 2);
+            extraLines.add(list(8, false, entry(0, 1, "draining")).replaceAll("([{\\[,])", "$1\n  "));
+            until(() -> leaving.open.isEmpty());
+            int before = leaving.told.size();
+            askUntil(client, System.nanoTime() + SECOND / 2);
+            assertEquals(before, leaving.told.size());
+        }
+        assertEquals(1, discovery.told.size());
+    }
+
     // A watch opened anew that has nothing new to tell was given up every four seconds, one more call each time.
     @Test
     void aWatchThatStandsIsKeptThoughNothingChanges() throws Exception {
