A call to discovery that is under way is no longer given up and made again

Seen with the new log lines: a watch whose answer came slowly was closed 4.0 s after it had opened and opened anew, five times in 20 s, without ever taking the list; the adapter's own limit, renewed by whole lines only, would have closed it after 2.7 s of a longer line.

Policy asked again 4 s after any call that had not brought a list, though a call ends either with an answer or with listFailed. Discovery.Watch took an unfinished line for silence. Now Policy waits for the call that is under way, and any byte renews the limit on silence; one object takes 20 s at most.

aListThatComesSlowlyIsWaitedFor (20 characters each half second) failed before, also with only one of both mended, and passes.

--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -148,6 +148,8 @@
     private final Decay completed = new Decay(MEASURE_HALF_LIFE);
 
     private boolean watching;
+    /** Whether discovery was asked and has neither answered nor failed: asking again would give up the place in line. */
+    private boolean asking;
     private long askAgainNs;
     private int asksFailed;
 
@@ -188,7 +190,7 @@
         host.timer(now + SECOND, "sample");
         host.timer(now + TICK, "tick");
         if (set.listMustBeAsked()) {
-            askForList(now);
+            askForList();
         }
     }
 
@@ -219,6 +221,7 @@
     /** A watch stands and has nothing new to tell. */
     public void listConfirmed(long now) {
         watching = true;
+        asking = false;
         asksFailed = 0;
         lease.confirmed(now);
     }
@@ -228,8 +231,10 @@
         lease.unconfirmedSince(sinceNs);
     }
 
-    /** Another discovery is asked from now on, which has not confirmed the list yet. */
+    /** Another discovery is being asked from now on; nobody has confirmed the list since that time. */
     public void listMoved(long sinceNs) {
+        watching = false;
+        asking = true;
         lease.unconfirmedSince(sinceNs);
         lease.moved();
     }
@@ -258,14 +263,15 @@
     /** Whether a watch still stands can't be told from this, so it is asked for again, ever more rarely. */
     public void listFailed(long now) {
         watching = false;
+        asking = false;
         long most = Math.max(SECOND, set.rules().askWithinNs() / 3);
         long wait = Math.min(SECOND << Math.min(++asksFailed, 4), most);
         askAgainNs = now + wait / 2 + random.nextLong(wait / 2 + 1);
     }
 
-    private void askForList(long now) {
+    private void askForList() {
+        asking = true;
         host.watchList();
-        askAgainNs = now + Math.min(4 * SECOND, Math.max(SECOND, set.rules().askWithinNs() / 2));
     }
 
     // ---- Reqs.
@@ -862,8 +868,8 @@
                 room.adjust(now, listed.all().size());
                 doubt.look(now, held.values(), news);
                 rescue(now);
-                if (set.listMustBeAsked() && !watching && now >= askAgainNs) {
-                    askForList(now);
+                if (set.listMustBeAsked() && !watching && !asking && now >= askAgainNs) {
+                    askForList();
                 }
             }
         }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -13,6 +13,9 @@
     /** An empty line comes every 2 s; after this long without one, the other end is gone or cut off. */
     private static final long SILENT_NS = 2_700_000_000L;
 
+    /** An answer that comes slowly is waited for, but not for ever. */
+    private static final long OBJECT_NS = 20_000_000_000L;
+
     private final Net net;
     private final Clock clock;
     private final Log log;
@@ -91,6 +94,8 @@
     private final class Watch extends Chunked {
         private final int number;
         private final JsonObjects objects = new JsonObjects(LONGEST);
+        /** When the object under way began, at the latest when the one before was whole. */
+        private long objectNs = clock.now();
 
         Watch(int number) {
             super(net, LONGEST, log, "discovery");
@@ -108,9 +113,13 @@
                     + address.getHostString() + ":" + address.getPort() + "\r\n\r\n";
         }
 
+        @Override
+        void progress() {
+            limit(Math.min(SILENT_NS, objectNs + OBJECT_NS - clock.now()));
+        }
+
         @Override
         void line(String text) {
-            limit(SILENT_NS);
             String object = objects.add(text);
             if (object == null) {
                 return;
@@ -122,6 +131,7 @@
             }
             heardNs = clock.now();
             heard = true;
+            objectNs = heardNs;
         }
 
         @Override
--- a/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
@@ -59,6 +59,9 @@
     /** Not called any more once the connection has ended or was dropped. */
     abstract void line(String text);
 
+    /** Bytes came, be it the middle of a line. */
+    void progress() { }
+
     /** Called once, when the connection has ended for whatever reason but {@link #drop}. */
     abstract void end(EndReason reason);
 
@@ -154,6 +157,9 @@
         firstByteNs = firstByteNs == 0 ? lastByteNs : firstByteNs;
         bytesRead += in.readableBytes();
         try {
+            if (!over) {
+                progress();
+            }
             bytes(in);
         } finally {
             in.release();
--- a/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
@@ -24,13 +24,26 @@
 
     /** Whether each call waits in line until discovery gives it up. */
     private volatile boolean crowded;
+    /** A list that is written twenty characters each half a second. */
+    private volatile String slowly;
 
     StaleListTest() throws IOException {
         discovery = new Listener(this::discoverInLine);
     }
 
     private void discoverInLine(DataInputStream in, DataOutputStream out) throws Exception {
-        if (!crowded) {
+        if (slowly != null) {
+            discovery.told.add(line(in));
+            while (!line(in).isEmpty()) { }
+            out.writeBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String text = slowly + "\n";
+            for (int i = 0; i < text.length(); i += 20) {
+                String part = text.substring(i, Math.min(text.length(), i + 20));
+                out.writeBytes(Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+                Thread.sleep(500);
+            }
+            Thread.sleep(30_000);
+        } else if (!crowded) {
             discover(in, out);
             return;
         }
@@ -93,6 +106,26 @@
         assertEquals(1, discovery.told.size());
     }
 
+    // A list of which bytes kept coming was given up after 2.7 s, and asked for again from its beginning.
+    @Test
+    void aListThatComesSlowlyIsWaitedFor() throws Exception {
+        Listener leaving = pod((q, out) -> give(out, "v"));
+        pod((q, out) -> give(out, "v"));
+        start();
+        until(() -> discovery.told.size() == 1);
+        slowly = list(8, false, entry(0, 1, "draining"));
+        for (var watch : discovery.open) {
+            watch.close();
+        }
+        until(() -> logged().contains("list: generation 8"));
+        assertEquals(2, discovery.told.size());
+        try (Client client = new Client()) {
+            int before = leaving.told.size();
+            askUntil(client, System.nanoTime() + SECOND / 2);
+            assertEquals(before, leaving.told.size());
+        }
+    }
+
     // A watch opened anew that has nothing new to tell was given up every four seconds, one more call each time.
     @Test
     void aWatchThatStandsIsKeptThoughNothingChanges() throws Exception {
