A watch that ended is opened again where discovery tells changes unasked, too

Where the settings say discovery=automatic, the watch was opened once at the start and never again: Policy's tick asked anew only where lists must be asked for.

aWatchThatEndedIsOpenedAgainWhereListsArePushed failed before (no second call in 20 s) and passes.

--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -868,7 +868,7 @@
                 room.adjust(now, listed.all().size());
                 doubt.look(now, held.values(), news);
                 rescue(now);
-                if (set.listMustBeAsked() && !watching && !asking && now >= askAgainNs) {
+                if (!watching && !asking && asksFailed > 0 && now >= askAgainNs) {
                     askForList();
                 }
             }
--- a/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
@@ -126,6 +126,19 @@
         }
     }
 
+    // Where discovery tells changes unasked, a watch that had ended was never opened again.
+    @Test
+    void aWatchThatEndedIsOpenedAgainWhereListsArePushed() throws Exception {
+        discoveryMode = "automatic";
+        pod((q, out) -> give(out, "v"));
+        start();
+        until(() -> discovery.told.size() == 1);
+        for (var watch : discovery.open) {
+            watch.close();
+        }
+        until(() -> discovery.told.size() == 2);
+    }
+
     // A watch opened anew that has nothing new to tell was given up every four seconds, one more call each time.
     @Test
     void aWatchThatStandsIsKeptThoughNothingChanges() throws Exception {
--- a/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
@@ -117,6 +117,8 @@
     volatile boolean silent;
     volatile String ballotAnswer = "OK 1 2 live 1 5000";
     volatile String progress = "* progress 1 2 live 1 5000";
+    /** The configuration's word on discovery: subscribe, or automatic where it tells changes unasked. */
+    String discoveryMode = "subscribe";
     /** What the program is started with besides. */
     final List<String> with = new ArrayList<>();
     Process process;
@@ -273,7 +275,8 @@
         String[] entries = new String[pods.size()];
         Arrays.setAll(entries, i -> entry(i, 1, "ready"));
         return Files.writeString(folder.resolve("config.json"), config("127.0.0.1:" + port, discovery.address(),
-                platform.address(), list(7, true, entries), sockets));
+                platform.address(), list(7, true, entries), sockets)
+                .replace("\"discovery\":\"subscribe\"", "\"discovery\":\"" + discoveryMode + "\""));
     }
 
     String logged() {
