A failed accept no longer ends the event loop, nor stops the listener for a second

Seen with a real process of 80 descriptors and 160 clients: the first accept that failed with EMFILE ended the event loop for good; nothing was answered any more and nobody was accepted, though the process lived on.

Cause: nothing in the listener's pipeline took the failure, so Netty logged it through java.util.logging, whose console handler opens a file for its first line; without descriptors that is an Error (ExceptionInInitializerError of ZoneInfoFile, seen in the process's output), which ends the loop's thread. Had it not, Netty's acceptor would have stopped reading from the listener for a second.

--- a/sidecar/src/main/java/mulleinlever/sidecar/Net.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Net.java
@@ -86,6 +86,7 @@
                 .childOption(ChannelOption.ALLOCATOR, alloc)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, reads())
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .handler(new AcceptFailures(log))
                 .childHandler(each(handlers))
                 .bind(at);
     }
--- /dev/null
+++ b/sidecar/src/main/java/mulleinlever/sidecar/NettyLog.java
@@ -0,0 +1,44 @@
+package mulleinlever.sidecar;
+
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Passes what Netty warns of to our log. The JDK's own handlers open files for their first line, and their failure, when
+ * there are no descriptors left, ends the event loop that had only meant to warn of a failed accept.
+ */
+final class NettyLog extends Handler {
+    /** Held here, since the JDK itself holds loggers weakly. */
+    private static final Logger NETTY = Logger.getLogger("io.netty");
+
+    private final Log log;
+
+    private NettyLog(Log log) {
+        this.log = log;
+        setLevel(Level.WARNING);
+    }
+
+    /** From now on, instead of the handlers that the process started with. */
+    static void passTo(Log log) {
+        NETTY.setUseParentHandlers(false);
+        for (Handler before : NETTY.getHandlers()) {
+            NETTY.removeHandler(before);
+        }
+        NETTY.addHandler(new NettyLog(log));
+    }
+
+    @Override
+    public void publish(LogRecord told) {
+        if (isLoggable(told)) {
+            log.say("netty", told.getMessage() + (told.getThrown() == null ? "" : " " + told.getThrown()));
+        }
+    }
+
+    @Override
+    public void flush() { }
+
+    @Override
+    public void close() { }
+}
--- a/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
@@ -55,6 +55,7 @@
     public static int run(Map<String, String> env, List<Path> with) throws InterruptedException {
         Clock clock = new Clock();
         Log log = new Log(System.err, clock);
+        NettyLog.passTo(log);
         Config config;
         Ours ours;
         try {
--- /dev/null
+++ b/sidecar/src/test/java/mulleinlever/sidecar/FailingCallsTest.java
@@ -0,0 +1,54 @@
+package mulleinlever.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The program while system calls fail for want of descriptors, and after. */
+@Timeout(90)
+class FailingCallsTest extends StandIns {
+    private static final int DESCRIPTORS = 80;
+
+    FailingCallsTest() throws IOException { }
+
+    /** Connections that say nothing, more than the process has descriptors for. */
+    private List<Socket> exhaust() throws Exception {
+        List<Socket> all = new ArrayList<>();
+        for (int i = 0; i < 2 * DESCRIPTORS; i++) {
+            all.add(new Socket(InetAddress.getLoopbackAddress(), port));
+        }
+        until(() -> logged().contains("Too many open files"));
+        return all;
+    }
+
+    private static void close(List<Socket> all) throws IOException {
+        for (Socket s : all) {
+            s.close();
+        }
+    }
+
+    // After one failed accept nobody was accepted for a second.
+    @Test
+    void clientsAreAcceptedAgainSoonAfterAnAcceptFailed() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        descriptors = DESCRIPTORS;
+        start(1024);
+        for (int i = 0; i < 5; i++) {
+            close(exhaust());
+            long fromNs = System.nanoTime();
+            try (Client client = new Client()) {
+                assertEquals("TDvC", client.ask(get("1", 1400)));
+            }
+            long tookMs = (System.nanoTime() - fromNs) / 1_000_000;
+            assertTrue(tookMs < 500, "accepted and served after " + tookMs + " ms");
+            Thread.sleep(300);
+        }
+    }
+}
--- a/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
@@ -119,6 +119,8 @@
     volatile String progress = "* progress 1 2 live 1 5000";
     /** The configuration's word on discovery: subscribe, or automatic where it tells changes unasked. */
     String discoveryMode = "subscribe";
+    /** Descriptors the process may hold, set as the hard limit of the system; 0 for what the machine gives. */
+    int descriptors;
     /** What the program is started with besides. */
     final List<String> with = new ArrayList<>();
     Process process;
@@ -304,6 +306,9 @@
         command.addAll(List.of(flags.split(" ")));
         command.addAll(List.of(System.getProperty("sidecar.main", ServeMain.class.getName()), "serve"));
         command.addAll(with);
+        if (descriptors > 0) {
+            command.addAll(0, List.of("sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh"));
+        }
         var b = new ProcessBuilder(command);
         b.environment().put("LB_CONFIG", file.toString());
         process = b.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
