A connection for which no socket could be had fails like any other, on the event loop

Seen once descriptors ran out (80 of them, 160 silent clients): an attempt was answered 1396 ms after it came, at its time limit of 1400 ms, and a watch that had ended was never opened again, for the life of the process.

Cause: where socket() itself fails, Netty hands out a channel that was never registered. Its failure is told on a global thread, not on the loop on which all our state lives, and close() on it throws; so PodLink.lost ended before it told the attempt, and Lines.drop before it told that the watch had ended. Now Net.connect hands out no channel then, and tells of any failure on the loop, after the call; those who hold no channel don't close one.

--- a/sidecar/src/main/java/mulleinlever/sidecar/InnerNet.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/InnerNet.java
@@ -29,7 +29,7 @@
     }
 
     @Override
-    ChannelFuture connect(InetSocketAddress to, long withinNs, ChannelHandler handler) {
+    ChannelFuture begin(InetSocketAddress to, long withinNs, ChannelHandler handler) {
         return new Bootstrap().group(loop).channel(LocalChannel.class).handler(handler).connect(inner(to));
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
@@ -35,6 +34,7 @@
     private long lastByteNs;
     private long bytesRead;
     private int linesRead;
+    private String connectError = "";
     private EndReason brokenBy = EndReason.CLOSED_BY_PEER;
 
     private final Net net;
@@ -68,12 +68,9 @@
     final void open(InetSocketAddress to, long withinNs, long limitNs) {
         openedNs = System.nanoTime();
         limit(limitNs);
-        ChannelFuture f = net.connect(to, withinNs, this);
-        channel = f.channel();
-        f.addListener(done -> {
-            if (!done.isSuccess()) {
-                ended(EndReason.CONNECT_FAILED);
-            }
+        channel = net.connect(to, withinNs, this, cause -> {
+            connectError = cause.toString();
+            ended(EndReason.CONNECT_FAILED);
         });
     }
 
@@ -91,7 +88,9 @@
         if (limit != null) {
             limit.cancel(false);
         }
-        channel.close();
+        if (channel != null) {
+            channel.close();
+        }
     }
 
     final void ended(EndReason reason) {
@@ -110,7 +109,7 @@
     final String history() {
         return String.format(Locale.ROOT, "after %d ms (connected %s, first byte %s, last byte %s; %d bytes, %d lines)",
                 (System.nanoTime() - openedNs) / 1_000_000, sinceOpened(connectedNs), sinceOpened(firstByteNs),
-                sinceOpened(lastByteNs), bytesRead, linesRead);
+                sinceOpened(lastByteNs), bytesRead, linesRead) + connectError;
     }
 
     private String sinceOpened(long atNs) {
--- a/sidecar/src/main/java/mulleinlever/sidecar/Net.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Net.java
@@ -20,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** The one event loop, on which everything happens, and how connections are made on it. */
@@ -70,7 +71,29 @@
         };
     }
 
-    ChannelFuture connect(InetSocketAddress to, long withinNs, ChannelHandler handler) {
+    /**
+     * Opens a connection.
+     *
+     * @param failed told on the loop, and never within this call, where it does not come up
+     * @return its channel, or null where not even a socket could be had
+     */
+    final Channel connect(InetSocketAddress to, long withinNs, ChannelHandler handler, Consumer<Throwable> failed) {
+        ChannelFuture connecting = begin(to, withinNs, handler);
+        // Without a socket Netty tells of it on a thread of its own, and closing that channel throws.
+        if (connecting.isDone() && !connecting.isSuccess() && !connecting.channel().isRegistered()) {
+            soon(() -> failed.accept(connecting.cause()));
+            return null;
+        }
+        connecting.addListener(f -> {
+            if (!f.isSuccess()) {
+                failed.accept(f.cause());
+            }
+        });
+        return connecting.channel();
+    }
+
+    /** Begins to connect. */
+    ChannelFuture begin(InetSocketAddress to, long withinNs, ChannelHandler handler) {
         return new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(handler)
                 .option(ChannelOption.ALLOCATOR, alloc)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, reads())
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodLink.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodLink.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ConnectTimeoutException;
@@ -82,17 +81,19 @@
         }
     }
 
-    void opening(ChannelFuture connecting, Future<?> limit) {
-        channel = connecting.channel();
+    /** Null where no socket could be had, of which {@link #failed} tells. */
+    void opening(Channel connecting, Future<?> limit) {
+        channel = connecting;
         openLimit = limit;
-        connecting.addListener(f -> {
-            if (f.cause() instanceof ConnectTimeoutException) {
-                notUp();
-            } else if (!f.isSuccess() && !closed) {
-                pods.refused();
-                lost();
-            }
-        });
+    }
+
+    void failed(Throwable cause) {
+        if (cause instanceof ConnectTimeoutException) {
+            notUp();
+        } else if (!closed) {
+            pods.refused();
+            lost();
+        }
     }
 
     /** It had its time. */
@@ -128,7 +129,9 @@
             }
             answer.clear();
             pods.closed(this);
-            channel.close();
+            if (channel != null) {
+                channel.close();
+            }
         }
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/Pods.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Pods.java
@@ -1,6 +1,6 @@
 package mulleinlever.sidecar;
 
-import io.netty.channel.ChannelFuture;
+import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -177,8 +177,8 @@
         link.awaits(t);
         place.opening.add(link);
         long limitNs = patience.limitNs(link.beganNs);
-        ChannelFuture f = net.connect(place.address, limitNs, link);
-        link.opening(f, net.after(limitNs, link::notUp));
+        Channel connecting = net.connect(place.address, limitNs, link, link::failed);
+        link.opening(connecting, net.after(limitNs, link::notUp));
         return true;
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/Rehearsal.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Rehearsal.java
@@ -71,7 +71,7 @@
         }
         stages.clients.listensAt(net.listen(config.listen(), stages::client).channel());
         for (int i = 0; i < CLIENTS; i++) {
-            net.connect(config.listen(), LONGEST_NS, new Client());
+            net.connect(config.listen(), LONGEST_NS, new Client(), cause -> quiet.say("life", cause.toString()));
         }
     }
 
--- a/sidecar/src/test/java/mulleinlever/sidecar/FailingCallsTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/FailingCallsTest.java
@@ -34,6 +34,46 @@
         }
     }
 
+    // A watch for which no socket could be had threw within its own end, and was never opened again.
+    @Test
+    void aWatchIsOpenedAgainThoughNoSocketCouldBeHadForIt() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        descriptors = DESCRIPTORS;
+        start(1024);
+        until(() -> discovery.told.size() == 1);
+        List<Socket> taken = exhaust();
+        for (var watch : discovery.open) {
+            watch.close();
+        }
+        // Its own descriptor is taken by the next client in line before it is opened anew.
+        until(() -> logged().contains("watch 2 has ended"));
+        close(taken);
+        until(() -> discovery.told.size() == 2);
+    }
+
+    // An attempt for which no socket could be had was told of it by another thread, or waited for its time limit.
+    @Test
+    void anAttemptForWhichNoSocketCouldBeHadIsAnsweredAtOnce() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        descriptors = DESCRIPTORS;
+        start(1024);
+        try (Client client = new Client()) {
+            List<Socket> taken = exhaust();
+            long fromNs = System.nanoTime();
+            assertEquals("E53300 with advice", client.ask(get("1", 1400)));
+            long tookMs = (System.nanoTime() - fromNs) / 1_000_000;
+            assertTrue(tookMs < 700, "answered after " + tookMs + " ms of 1400");
+            close(taken);
+            until(() -> {
+                try {
+                    return client.ask(get("1", 1400)).equals("TDvC");
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+        }
+    }
+
     // After one failed accept nobody was accepted for a second.
     @Test
     void clientsAreAcceptedAgainSoonAfterAnAcceptFailed() throws Exception {
