A step of the wall clock neither skips a server's slow start nor makes it last

Time limits were spans of the monotonic clock already; the start of a server (startedAtMs) was not. Told an hour ahead of our clock, a server was held for cold for that hour; told an hour or five seconds behind, it got a warm server's share at once (0.16 of 200 requests a second on five servers, 0.075 with a right clock), which is how a fleet pushes a cold server over.

Now StartTimes bounds the start by what the monotonic clock has seen: never in the future, and, once the clock has shown itself wrong, never before the time at which the list was still true without the server. It shows by a step of our own clock (Clock.steppedNs, looked at each second and logged), or by a start in the future or 30 s before a list without that server. Trusted clocks decide as before.

ClockStepTest failed before at all four steps (0.16 against 0.075 while cold for the clock behind) and passes; ClockTest steps a clock by an hour and by 5 s, either way. Open: a clock that is seconds ahead before our process starts and is never stepped after.

--- a/core/src/main/java/mulleinlever/ListLease.java
+++ b/core/src/main/java/mulleinlever/ListLease.java
@@ -18,7 +18,7 @@
     private final long slackNs;
     private boolean confirmed;
     private boolean moved;
-    private long confirmedNs;
+    private long confirmedNs = Long.MIN_VALUE / 2;
 
     /**
      * @param askWithinNs how long a sidecar may go without asking before changes count as told
@@ -37,6 +37,11 @@
         confirmedNs = nowNs;
     }
 
+    /** When the list was last known to be true; long ago before that. */
+    long confirmedNs() {
+        return confirmedNs;
+    }
+
     /** Changes made after that moment may not have been told. */
     void unconfirmedSince(long sinceNs) {
         confirmed = false;
--- a/core/src/main/java/mulleinlever/Pod.java
+++ b/core/src/main/java/mulleinlever/Pod.java
@@ -6,6 +6,8 @@
 final class Pod {
     final String id;
     PodEntry is;
+    /** When it started, by our own clock; 0 for long ago. */
+    long startedNs;
     /** One for all pods that lie there. */
     Zone zone;
     int open;
@@ -25,6 +27,7 @@
     Pod(PodEntry is, long halfLifeNs) {
         this.id = is.id();
         this.is = is;
+        this.startedNs = is.startedNs();
         this.slowness = new Mean(halfLifeNs);
         this.late = new Mean(2 * halfLifeNs);
     }
@@ -80,7 +83,10 @@
     }
 
     /** Takes a new line of the list. An id may come back as another machine: its past counts for nothing. */
-    void take(PodEntry entry, Zone in) {
+    void take(PodEntry entry, Zone in, StartTimes starts, long listTrueNs, long nowNs) {
+        if (zone == null || !isThatOf(entry)) {
+            startedNs = starts.startedNs(entry.startedNs(), listTrueNs, nowNs);
+        }
         if (!isThatOf(entry)) {
             servedSentNs = Long.MIN_VALUE / 2;
             strikes = 0;
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -124,6 +124,7 @@
     private final Map<String, Pod> pods = new LinkedHashMap<>();
     private final Map<String, Zone> zones = new HashMap<>();
     private final ListLease lease;
+    private final StartTimes starts = new StartTimes();
     // Surveyed at each change and tick, so that no req costs more on a larger fleet.
     private Fleet listed = new Fleet(List.of(), "");
     /** Those of the listed that may be sent to: all while discovery confirms the list. */
@@ -204,10 +205,11 @@
     }
 
     public void listChanged(long now, List<PodEntry> entries) {
+        long beforeNs = lease.confirmedNs();
         listConfirmed(now);
         for (PodEntry e : entries) {
             Zone in = zones.computeIfAbsent(e.zone(), z -> new Zone());
-            pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e, in);
+            pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e, in, starts, beforeNs, now);
         }
         if (!told) {
             // Until there is news, all but the lowest build counts as on trial.
@@ -239,6 +241,11 @@
         lease.moved();
     }
 
+    /** The wall clock by which the list tells starts of servers was stepped. */
+    public void wallClockStepped() {
+        starts.stepped();
+    }
+
     private void survey(long now) {
         pods.values().removeIf(p -> p.goneFor(now) > FORGET_AFTER);
         listed = new Fleet(pods.values().stream().filter(Pod::ready).toList(), set.zone());
@@ -337,7 +344,7 @@
         if (pod == null) {
             return false;
         }
-        boolean fresh = now < pod.is.startedNs() + FRESH_PART * set.rules().warmAfterNs();
+        boolean fresh = now < pod.startedNs + FRESH_PART * set.rules().warmAfterNs();
         Try t = new Try(pod, now, !fresh, pod.is.build(), linked(now, pod));
         rq.start(t);
         rq.calledBack = false;
@@ -519,7 +526,7 @@
      * in a row stand for all; then a try now and then shows whether it is back. What starts anew is left out.
      */
     private static boolean dark(Pod p) {
-        return p.zone.dark(p.is.startedNs());
+        return p.zone.dark(p.startedNs);
     }
 
     /** What lies at silent pods is called back, to go elsewhere; what may be lost on the way goes twice. */
@@ -553,7 +560,7 @@
     }
 
     private boolean cold(long now, Pod p) {
-        return p.is.startedNs() > 0 && now < p.is.startedNs() + set.rules().warmAfterNs();
+        return p.startedNs > 0 && now < p.startedNs + set.rules().warmAfterNs();
     }
 
     /**
@@ -564,7 +571,7 @@
         if (!cold(now, p)) {
             return true;
         }
-        double age = Math.max(0, now - p.is.startedNs()) / (double) set.rules().warmAfterNs();
+        double age = Math.max(0, now - p.startedNs) / (double) set.rules().warmAfterNs();
         double can = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
         // What each pod would complete a second from here if all did alike; before any did, what comes in.
         double all = completed.perSecond(now) > 0 ? completed.perSecond(now) : taken.perSecond(now);
@@ -626,8 +633,8 @@
         }
         double done = Math.max(0, n - failed);
         long began = now - ageNs - rollout.tallyEveryNs();
-        boolean fresh = whole.count(p -> p.is.build() == build && p.is.startedNs() > 0
-                && began < p.is.startedNs() + FRESH_PART * set.rules().warmAfterNs()) > 0;
+        boolean fresh = whole.count(p -> p.is.build() == build && p.startedNs > 0
+                && began < p.startedNs + FRESH_PART * set.rules().warmAfterNs()) > 0;
         if (!fresh) {
             learnLate(now, row, build, meanNs, done);
         }
--- /dev/null
+++ b/core/src/main/java/mulleinlever/StartTimes.java
@@ -0,0 +1,33 @@
+package mulleinlever;
+
+/**
+ * Decides when a server started. The list tells it by a wall clock that may have been stepped, on our machine or on the
+ * server's, and slow start must neither be left out for that nor last for as long as the step. Times are nanoseconds.
+ */
+final class StartTimes {
+    /** A server that is new on the list can't have run for longer without being listed. */
+    private static final long UNLISTED_NS = 30_000_000_000L;
+    /** Clocks of one network differ by less. */
+    private static final long SKEW_NS = 500_000_000L;
+
+    private boolean trusted = true;
+
+    /** The wall clock was stepped: what it tells from now on is not to be relied on. */
+    void stepped() {
+        trusted = false;
+    }
+
+    /**
+     * When a server started that is new on the list or has started anew.
+     *
+     * @param toldNs as the list tells it; 0 for long ago
+     * @param listTrueNs when the list was last true without it
+     */
+    long startedNs(long toldNs, long listTrueNs, long nowNs) {
+        if (toldNs == 0) {
+            return 0;
+        }
+        trusted &= toldNs < nowNs + SKEW_NS && toldNs > listTrueNs - UNLISTED_NS;
+        return Math.min(nowNs, trusted ? toldNs : Math.max(listTrueNs, toldNs));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/mulleinlever/ClockStepTest.java
@@ -0,0 +1,65 @@
+package mulleinlever;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Starts of servers are told by a wall clock that may be ahead of or behind ours. */
+class ClockStepTest {
+    private static final long MS = Bench.MS;
+    private static final int WARM = 4;
+    private static final PodEntry STARTED = Bench.pod(WARM, 1, 0);
+
+    /** The part of 200 requests a second that goes to the server that has started, for some seconds. */
+    private static double part(Bench b, int seconds) {
+        int before = b.sent.size();
+        for (int i = 0; i < 200 * seconds; i++) {
+            b.policy.listConfirmed(b.now);
+            String id = "r" + b.sent.size();
+            b.req(id, "get", 2 * Bench.S);
+            b.pass(5 * MS);
+            b.end(id, 0, Ending.OK, 5 * MS);
+        }
+        List<Bench.Sent> sent = b.sent.subList(before, b.sent.size());
+        return sent.stream().filter(s -> s.pod().equals(STARTED.id())).count() / (double) sent.size();
+    }
+
+    /** The part that the server gets in its first second, and long after it is warm. */
+    private static double[] parts(long stepMs) {
+        Bench b = Bench.plain(1, false, false, 1).pods(WARM, 1).news(1, 2, News.Phase.RELEASED, 1);
+        part(b, 3);
+        PodEntry started = new PodEntry(STARTED.id(), STARTED.zone(), STARTED.kind(), STARTED.cell(), 1,
+                PodEntry.State.READY, 1, b.now + (stepMs - 200) * MS);
+        if (stepMs != 0) {
+            b.policy.wallClockStepped();
+        }
+        b.policy.listChanged(b.now, List.of(started));
+        double cold = part(b, 1);
+        part(b, 4);
+        return new double[] {cold, part(b, 2)};
+    }
+
+    // The clock may have been an hour off before the process started, which only the list can show.
+    @ParameterizedTest
+    @ValueSource(longs = {-3_600_000, 5_000, 3_600_000})
+    void aClockThatWasWrongFromTheStartShowsInTheList(long stepMs) {
+        var starts = new StartTimes();
+        long nowNs = 10_000_000 * MS;
+        long startedNs = starts.startedNs(nowNs + (stepMs - 200) * MS, nowNs - 100 * MS, nowNs);
+        assertTrue(nowNs - startedNs <= 100 * MS, "started " + (nowNs - startedNs) / MS + " ms ago");
+    }
+
+    // A step of the wall clock made slow start end at once, or last as long as the step.
+    @ParameterizedTest
+    @ValueSource(longs = {-3_600_000, -5_000, 5_000, 3_600_000})
+    void slowStartIsAsLongWhateverTheClockThatTellsOfIt(long stepMs) {
+        double[] right = parts(0);
+        double[] stepped = parts(stepMs);
+        assertTrue(right[0] < 0.75 * right[1], "no slow start: " + right[0] + ", " + right[1]);
+        assertEquals(right[0], stepped[0], 0.03, "while it is cold");
+        assertEquals(right[1], stepped[1], 0.03, "once it is warm");
+    }
+}
--- a/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
@@ -22,6 +22,7 @@
     private final Lateness lateness = new Lateness();
     private final Clock clock;
     private final Log log;
+    private boolean wallClockStepped;
 
     Stages(Config config, Net net, Clock clock, Log log, Life life) {
         this.clock = clock;
@@ -60,7 +61,18 @@
         lateness.seen(clock.now(), lateNs);
     }
 
+    /** A step is told to the policy once: it can't be undone. */
+    private void watchWallClock() {
+        long steppedNs = clock.steppedNs();
+        if (steppedNs != 0 && !wallClockStepped) {
+            wallClockStepped = true;
+            log.say("clock", "the wall clock was stepped by " + steppedNs / 1_000_000 + " ms");
+            policy.wallClockStepped();
+        }
+    }
+
     void sweep() {
+        watchWallClock();
         clients.sweep(clock.now());
         pods.sweep(clock.now());
         counts.tell(policy.sight(clock.now()), clients.count(), pods.links(), discovery.ageNs());
--- /dev/null
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClockTest.java
@@ -0,0 +1,27 @@
+package mulleinlever.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class ClockTest {
+    private static final long HOUR_NS = 3_600_000_000_000L;
+
+    // Time limits and windows are spans of the steady clock; a step of the wall clock is only noticed.
+    @Test
+    void aStepOfTheWallClockMovesNoTimeLimitAndIsNoticed() {
+        AtomicLong stepNs = new AtomicLong();
+        Clock clock = new Clock(() -> System.nanoTime() + stepNs.get());
+        assertEquals(0, clock.steppedNs());
+        for (long by : new long[] {HOUR_NS, -HOUR_NS, 5_000_000_000L, -5_000_000_000L}) {
+            long beforeNs = clock.now();
+            stepNs.set(by);
+            assertEquals(by, clock.steppedNs(), 1e8);
+            assertTrue(clock.now() - beforeNs < 1e9);
+        }
+        stepNs.set(1_000_000);
+        assertEquals(0, clock.steppedNs());
+    }
+}
