A repeat that is bound to a window is written within it or not at all

Seen with a real process: a keyed request whose first attempt failed after 290 ms was repeated to a server that took 200 ms to let the connection in; the repeat was written 494 ms after the first attempt, with a window of 400 ms (rule duplicate: the servers may have forgotten the first by then).

Cause: the window was checked only when the attempt was decided, with 60 ms to spare; nothing checked it again when the attempt had waited for its connection, for a rest of one, or while the process was held up. Now the policy tells with each attempt by when it has to be written (window less the 0.15 s that a process may be held up), and Send gives up what is late as never run, keeping the connection. Unbound attempts are as before.

--- a/core/src/main/java/mulleinlever/Host.java
+++ b/core/src/main/java/mulleinlever/Host.java
@@ -2,8 +2,13 @@
 
 /** What a {@link Policy} may ask of the program it lives in. Calls take effect in the order made. */
 public interface Host {
-    /** Starts the next upstream try of a req; it ends after {@code limitNs} at the latest. */
-    void relay(String rq, String pod, long limitNs);
+    /**
+     * Starts the next upstream try of a req.
+     *
+     * @param writeWithinNs it is written within that time or not at all, and has then failed to connect
+     * @param limitNs it ends after that time at the latest
+     */
+    void relay(String rq, String pod, long writeWithinNs, long limitNs);
 
     /** Final answer: turned away, a repeat is harmless; {@code backoffNs} 0 gives no advice. */
     void shed(String rq, long backoffNs);
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -92,6 +92,8 @@
     private static final double COPY_AFTER = 1.5;
     private static final double COPY_LEAVES = 2;
     private static final long TICK = 50 * MS;
+    /** The process may be held up for so long between reading its clock and writing. */
+    private static final long HELD_UP = 150 * MS;
     /** What was remembered counts for so many outcomes at most: a few fresh ones prove it wrong. */
     private static final double PRIOR = 4;
 
@@ -346,6 +348,9 @@
         }
         boolean fresh = now < pod.startedNs + FRESH_PART * set.rules().warmAfterNs();
         Try t = new Try(pod, now, !fresh, pod.is.build(), linked(now, pod));
+        // No time-out of our own: one that a busy pod misses is work done twice; silent pods show sooner.
+        long limitNs = rq.dueNs - now - set.stepNs();
+        long writeWithinNs = rq.repeatIsBound() ? rq.lastRelayNs() - now - HELD_UP : limitNs;
         rq.start(t);
         rq.calledBack = false;
         pod.owesSinceNs = pod.open++ == 0 ? now : pod.owesSinceNs;
@@ -359,8 +364,7 @@
         if (news.onTrial(t.build())) {
             exposure.spend(t.build(), rq.row.at);
         }
-        // No time-out of our own: one that a busy pod misses is work done twice; silent pods show sooner.
-        host.relay(rq.is.id(), pod.id, rq.dueNs - now - set.stepNs());
+        host.relay(rq.is.id(), pod.id, writeWithinNs, limitNs);
         return true;
     }
 
--- a/core/src/main/java/mulleinlever/Rq.java
+++ b/core/src/main/java/mulleinlever/Rq.java
@@ -68,13 +68,16 @@
 
     /** Once it may have run, a deduped req stays with the pods that drop its repeats. */
     boolean mayGoTo(PodEntry pod) {
-        return row.is.repeat() != Settings.Repeat.DEDUPED || mayHaveRun() == null
-                || row.is.scope().holds(mayHaveRun().pod().is, pod);
+        return !repeatIsBound() || row.is.scope().holds(mayHaveRun().pod().is, pod);
+    }
+
+    /** Whether a repeat has to reach the pods that drop it before they forget the first. */
+    boolean repeatIsBound() {
+        return row.is.repeat() == Settings.Repeat.DEDUPED && mayHaveRun() != null;
     }
 
     /** When its client leaves, or the pods that drop its repeats begin to forget it. */
     long lastRelayNs() {
-        return row.is.repeat() != Settings.Repeat.DEDUPED || mayHaveRun() == null ? dueNs
-                : Math.min(dueNs, mayHaveRun().sentNs() + row.is.dedupNs());
+        return !repeatIsBound() ? dueNs : Math.min(dueNs, mayHaveRun().sentNs() + row.is.dedupNs());
     }
 }
--- a/core/src/test/java/mulleinlever/Bench.java
+++ b/core/src/test/java/mulleinlever/Bench.java
@@ -112,7 +112,7 @@
     }
 
     @Override
-    public void relay(String rq, String pod, long limitNs) {
+    public void relay(String rq, String pod, long writeWithinNs, long limitNs) {
         sent.add(new Sent(rq, pod, now, limitNs));
     }
 
--- a/drill/src/main/java/mulleinlever/drill/WireHost.java
+++ b/drill/src/main/java/mulleinlever/drill/WireHost.java
@@ -14,7 +14,7 @@
     }
 
     @Override
-    public void relay(String rq, String pod, long limitNs) {
+    public void relay(String rq, String pod, long writeWithinNs, long limitNs) {
         say().append("RELAY\tticket=").append(rq).append("\tpod=").append(pod).append("\tlimitNs=")
                 .append(limitNs).append('\n');
     }
--- a/lab/src/main/java/mulleinlever/lab/emu/EmuSidecar.java
+++ b/lab/src/main/java/mulleinlever/lab/emu/EmuSidecar.java
@@ -105,7 +105,7 @@
     }
 
     @Override
-    public void relay(String rq, String pod, long limitNs) {
+    public void relay(String rq, String pod, long writeWithinNs, long limitNs) {
         Held h = held.get(rq);
         EmuPod at = world.pod(pod);
         Sent s = new Sent(h.tries.size(), at, agenda.now());
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodLink.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodLink.java
@@ -111,6 +111,13 @@
         }
     }
 
+    /** What it was for is not sent: it waits for another. */
+    void spare() {
+        at = null;
+        idleSinceNs = clock.now();
+        pods.free(this);
+    }
+
     boolean usable() {
         return ready && !closed && channel.isActive() && at == null;
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Route.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Route.java
@@ -36,8 +36,8 @@
     }
 
     @Override
-    public void relay(String rq, String pod, long limitNs) {
-        send.start(book.find(rq), pod, limitNs);
+    public void relay(String rq, String pod, long writeWithinNs, long limitNs) {
+        send.start(book.find(rq), pod, writeWithinNs, limitNs);
     }
 
     @Override
--- a/sidecar/src/main/java/mulleinlever/sidecar/Upstream.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Upstream.java
@@ -9,6 +9,8 @@
     final int no;
     final String pod;
     final long calledNs;
+    /** It is written by then or not at all. */
+    final long writeByNs;
     final long untilNs;
     PodLink link;
     Future<?> limit;
@@ -17,11 +19,12 @@
     /** How it ended; null until it has. */
     Ending how;
 
-    Upstream(Held held, int no, String pod, long calledNs, long untilNs) {
+    Upstream(Held held, int no, String pod, long calledNs, long writeByNs, long untilNs) {
         this.held = held;
         this.no = no;
         this.pod = pod;
         this.calledNs = calledNs;
+        this.writeByNs = writeByNs;
         this.untilNs = untilNs;
     }
 
--- a/sidecar/src/test/java/mulleinlever/sidecar/PatienceTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/PatienceTest.java
@@ -105,7 +105,7 @@
         Send send = new Send(net, clock, null, new Pods(net, clock, null, null, 0, limits, null), late);
         Held held = new Held(null, null);
         for (long due = 3 * S; due < 6 * S; due += 10 * MS) {
-            send.start(held, "p", due);
+            send.start(held, "p", due, due);
             long acts = ((Delayed) held.tries.remove(0).limit).getDelay(TimeUnit.NANOSECONDS);
             long really = acts >= 4 * S && acts < 4_800 * MS ? 4_800 * MS : acts;
             assertTrue(really - due < S / 2, "due at " + due / MS + " answered at " + really / MS);
