Time limits of attempts no longer act sooner because the loop was late

Lateness cut the limits of attempts by the worst stall of the last 20 s, up to half of them. It also ended attempts early after one long pause of a collector.

--- a/sidecar/src/main/java/mulleinlever/sidecar/Send.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Send.java
@@ -14,10 +14,8 @@
     private final Clock clock;
     private final Book book;
     private final Pods pods;
-    private final Lateness lateness;
 
-    Send(Net net, Clock clock, Book book, Pods pods, Lateness lateness) {
-        this.lateness = lateness;
+    Send(Net net, Clock clock, Book book, Pods pods) {
         this.net = net;
         this.clock = clock;
         this.book = book;
@@ -32,7 +30,7 @@
             net.soon(() -> book.ended(t, Ending.MOOT, null));
             return;
         }
-        t.limit = net.after(lateness.limitNs(now, limitNs), () -> end(t, Ending.TIMEOUT));
+        t.limit = net.after(limitNs, () -> end(t, Ending.TIMEOUT));
         PodLink link = pods.idle(pod);
         long restNs = link == null ? 0 : link.restNs(now);
         if (link == null) {
--- a/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
@@ -149,7 +149,6 @@
         if (late > LATE_NS) {
             log.say("loop", "late by " + late / MS + " ms, " + stages.book.count() + " reqs in hand");
         }
-        stages.late(late);
         lastNs = now;
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Stages.java
@@ -19,7 +19,6 @@
     private final Flow flow = new Flow();
     private final Admit admit;
     private final Counts counts;
-    private final Lateness lateness = new Lateness();
     private final Clock clock;
     private final Log log;
     private boolean wallClockStepped;
@@ -35,7 +34,7 @@
                 counts);
         discovery = new Discovery(net, clock, log, config.discovery(), pods);
         platform = new Platform(net, clock, log, config);
-        Route route = new Route(net, clock, book, new Send(net, clock, book, pods, lateness), discovery, platform, log);
+        Route route = new Route(net, clock, book, new Send(net, clock, book, pods), discovery, platform, log);
         policy = new Policy(set, config.seed(), clock.now(), route);
         book.reportsTo(policy);
         route.asks(policy);
@@ -56,11 +55,6 @@
         return pods.addressOf(pod);
     }
 
-    /** The loop came so much later than it was asked to. */
-    void late(long lateNs) {
-        lateness.seen(clock.now(), lateNs);
-    }
-
     /** A step is told to the policy once: it can't be undone. */
     private void watchWallClock() {
         long steppedNs = clock.steppedNs();
--- a/sidecar/src/test/java/mulleinlever/sidecar/PatienceTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/PatienceTest.java
@@ -6,15 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.Delayed;
-import java.util.concurrent.TimeUnit;
-import mulleinlever.Settings;
 import org.junit.jupiter.api.Test;
 
-/** Of the two classes that decide how long to wait by what was seen of late. */
+/** Of the class that decides how long to wait by what was seen of late. */
 class PatienceTest {
     private static final long MS = 1_000_000L;
-    private static final long S = 1_000 * MS;
     private static final long MOST = 250 * MS;
 
     private record Seen(long atNs, long tookNs) { }
@@ -72,44 +68,4 @@
         assertEquals(MOST, p.limitNs(30));
         assertTrue(new Patience(MOST).limitNs(0) == MOST);
     }
-
-    /** The worst so far, each stall worth half after 20 s, on drawn stalls. */
-    @Test
-    void latenessAgreesWithThePlainModel() {
-        SplittableRandom random = new SplittableRandom(1);
-        Lateness late = new Lateness();
-        long now = 5 * S;
-        double worst = 0;
-        for (int i = 0; i < 15_000; i++) {
-            long passed = random.nextLong(200 * MS);
-            long by = random.nextInt(200) == 0 ? random.nextLong(2 * S) : random.nextLong(5 * MS) - MS;
-            now += passed;
-            worst = Math.max(worst * Math.pow(0.5, passed / 20e9), by);
-            late.seen(now, by);
-            long wanted = random.nextLong(5 * S);
-            assertEquals(wanted - Math.min(wanted / 2.0, worst), late.limitNs(now, wanted), 1_000);
-        }
-    }
-
-    /** A loop that stands still for 0.8 s again and again: what is due meanwhile is answered within half a second of it. */
-    @Test
-    void answersDueWithinAStallLikeThoseBeforeItAreLittleLate() {
-        Clock clock = new Clock();
-        Net net = new Net(null) {
-            @Override
-            void soon(Runnable what) { }
-        };
-        Lateness late = new Lateness();
-        late.seen(clock.now(), 800 * MS);
-        var limits = new Settings.Limits(1, 1, true, false, false, false, 0, 1, 0, 0);
-        Send send = new Send(net, clock, null, new Pods(net, clock, null, null, 0, limits, null), late);
-        Held held = new Held(null, null);
-        for (long due = 3 * S; due < 6 * S; due += 10 * MS) {
-            send.start(held, "p", due, due);
-            long acts = ((Delayed) held.tries.remove(0).limit).getDelay(TimeUnit.NANOSECONDS);
-            long really = acts >= 4 * S && acts < 4_800 * MS ? 4_800 * MS : acts;
-            assertTrue(really - due < S / 2, "due at " + due / MS + " answered at " + really / MS);
-        }
-        net.close();
-    }
 }
