A process that starts sends nothing by a list of unknown age, and asks for a new one at once

Its log shows who: 41 processes started at 22 to 23 s after their kill, were turned away by discovery with 503 at 28 to 36 s, and went by the list of their configuration, which their predecessors had last had before discovery was lost at 11 s. The servers on it had drained at 18.87, gone at 21.28, and listened again from 28.3 on, listed at 28.90.

Cause: the lease ran from the start of the process, as if the list had been true then. What a change counts as told from does not depend on our start. Now a list that nobody has confirmed carries nothing, until a watch speaks. The other duty: where nobody listens at discovery's address no change counts, so from the first refused call on the list is trusted, and the lease stands still from one refused call to the next. Requests that come meanwhile are shed at once.

So that this is short, discovery is asked when the process starts, while the rehearsal goes on, and the process listens once it has the list, or discovery can't be reached, or 5 s after its start at the latest.

--- a/core/src/main/java/mulleinlever/ListLease.java
+++ b/core/src/main/java/mulleinlever/ListLease.java
@@ -14,11 +14,15 @@
     /** The process may be held up for so long between reading its clock and writing. */
     private static final long HELD_UP_NS = 150_000_000L;
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final long toldAfterNs;
     private final long slackNs;
     private boolean confirmed;
     private boolean moved;
-    private long confirmedNs = Long.MIN_VALUE / 2;
+    private long confirmedNs = NEVER;
+    /** When the last call did not reach discovery; never where the last one did. */
+    private long unreachedNs = NEVER;
 
     /**
      * @param askWithinNs how long a sidecar may go without asking before changes count as told
@@ -34,6 +38,7 @@
     void confirmed(long nowNs) {
         confirmed = true;
         moved = false;
+        unreachedNs = NEVER;
         confirmedNs = nowNs;
     }
 
@@ -42,10 +47,35 @@
         return confirmedNs;
     }
 
-    /** Changes made after that moment may not have been told. */
+    /** The list that was confirmed no longer is: changes made after that moment may not have been told. */
     void unconfirmedSince(long sinceNs) {
+        if (confirmed) {
+            confirmed = false;
+            confirmedNs = sinceNs;
+        }
+    }
+
+    /** Nobody has said when the list was true: it may be of any age. */
+    void neverConfirmed() {
         confirmed = false;
-        confirmedNs = sinceNs;
+        confirmedNs = NEVER;
+    }
+
+    /**
+     * A call has found discovery reachable, or not: a change counts as told only so long after discovery could be reached. From one
+     * call that did not reach it to the next the lease does not run; a list of any age is trusted from the first on.
+     */
+    void called(boolean reached, long nowNs) {
+        if (reached || confirmed) {
+            unreachedNs = NEVER;
+            return;
+        }
+        if (confirmedNs == NEVER) {
+            confirmedNs = nowNs;
+        } else if (unreachedNs != NEVER) {
+            confirmedNs += nowNs - unreachedNs;
+        }
+        unreachedNs = nowNs;
     }
 
     /** What was not told before is to be asked for elsewhere, and counts as told sooner. */
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -235,11 +235,20 @@
         lease.unconfirmedSince(sinceNs);
     }
 
-    /** Another discovery is being asked from now on; nobody has confirmed the list since that time. */
-    public void listMoved(long sinceNs) {
+    /** Nobody has confirmed the list that was taken last, and it may be of any age. */
+    public void listNeverConfirmed() {
+        lease.neverConfirmed();
+    }
+
+    /** A call to discovery has ended, and did reach it or found nobody there. */
+    public void listCalled(long now, boolean reached) {
+        lease.called(reached, now);
+    }
+
+    /** Another discovery is being asked from now on. */
+    public void listMoved() {
         watching = false;
         asking = true;
-        lease.unconfirmedSince(sinceNs);
         lease.moved();
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -28,6 +28,8 @@
     /** When the last line of a watch came, which is when the list was last known to be true; the start before any. */
     private long heardNs;
     private boolean heard;
+    /** Whether nobody listened at its address when it was asked last. */
+    private boolean unreached;
 
     Discovery(Net net, Clock clock, Log log, InetSocketAddress address, Pods pods) {
         this.net = net;
@@ -45,7 +47,7 @@
     /** Takes the list of the configuration, which nobody has confirmed yet. */
     void takeKnown(PodList known) {
         take(known);
-        policy.listUnconfirmed(heardNs);
+        policy.listNeverConfirmed();
     }
 
     /** Takes a list from a watch. */
@@ -67,6 +69,11 @@
         return version;
     }
 
+    /** Whether the list is known to be true, or nobody is there who could tell. */
+    boolean settled() {
+        return heard || unreached;
+    }
+
     /** How long ago the list was last known to be true, in nanoseconds; before any watch told of it, since the start. */
     long ageNs() {
         return clock.now() - heardNs;
@@ -86,7 +93,7 @@
     void moved(InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
-            policy.listMoved(heardNs);
+            policy.listMoved();
             watch();
         }
     }
@@ -144,6 +151,8 @@
             log.say("discovery", this + " has ended: " + reason + " " + history() + ", list "
                     + (heard ? "confirmed " : "never confirmed, taken ") + ageNs() / 1_000_000 + " ms ago");
             policy.listUnconfirmed(heardNs);
+            unreached = reason == EndReason.REFUSED;
+            policy.listCalled(clock.now(), !unreached);
             policy.listFailed(clock.now());
         }
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
@@ -5,7 +5,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ConnectTimeoutException;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -16,7 +18,7 @@
 /** A connection of ours that begins with what we say; then lines of text arrive, split anywhere. */
 abstract class Lines extends ChannelInboundHandlerAdapter {
     /** Why a connection ended. */
-    enum EndReason { CONNECT_FAILED, SILENT, CLOSED_BY_PEER, RESET, STATUS, UNREADABLE, COMPLETE }
+    enum EndReason { REFUSED, CONNECT_FAILED, SILENT, CLOSED_BY_PEER, RESET, STATUS, UNREADABLE, COMPLETE }
 
     /** An HTTP answer whose status is not the one that was asked for. */
     static final class UnexpectedStatus extends RuntimeException {
@@ -70,7 +72,8 @@
         limit(limitNs);
         channel = net.connect(to, withinNs, this, cause -> {
             connectError = cause.toString();
-            ended(EndReason.CONNECT_FAILED);
+            boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+            ended(refused ? EndReason.REFUSED : EndReason.CONNECT_FAILED);
         });
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/Rehearsal.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Rehearsal.java
@@ -62,6 +62,7 @@
 
     private void begin() {
         Stages stages = new Stages(config, net, clock, quiet, new Life(quiet));
+        stages.policy.listConfirmed(clock.now());
         Set<String> addresses = new TreeSet<>(config.known().addresses().values());
         for (String a : addresses) {
             InetSocketAddress at = Address.of(a);
--- a/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Serve.java
@@ -20,6 +20,9 @@
     private static final long LEAVING_NS = 500 * MS;
     /** What was taken last may be answered this much after its route timeout. */
     private static final long SLACK_NS = 100 * MS;
+    /** From the start of the process: until then it waits for a list that is known to be true. */
+    private static final long LIST_WITHIN_NS = 5 * SECOND;
+    private static final long LIST_LOOK_NS = 20 * MS;
     private static final long LISTEN_AGAIN_NS = 250 * MS;
     private static final int LISTEN_TRIES = 40;
     private static final long WATCH_NS = 50 * MS;
@@ -34,6 +37,7 @@
     private final Net net;
     private final Reload reload;
     private final CountDownLatch done = new CountDownLatch(1);
+    private final long startedNs;
     private Stages stages;
     private long lastNs;
 
@@ -41,6 +45,7 @@
         this.config = config;
         this.memory = memory;
         this.clock = clock;
+        this.startedNs = clock.now();
         this.log = log;
         this.life = new Life(log);
         this.net = new Net(log);
@@ -71,6 +76,10 @@
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
         AtomicInteger code = new AtomicInteger();
         serve.reload.listen();
+        if (memory == null) {
+            // Discovery may have a long line, so it is asked while the rehearsal goes on.
+            serve.net.soon(serve::prepare);
+        }
         Rehearsal.play(config, played -> {
             log.say("life", played.toString());
             serve.remember();
@@ -110,19 +119,38 @@
         if (life.is(Life.Phase.ENDED)) {
             return;
         }
-        stages = new Stages(memory == null ? config : memory.startsFrom(), net, clock, log, life);
+        if (stages == null) {
+            prepare();
+        }
         if (memory != null) {
             memory.begin(net, stages);
         }
         stages.platform.listen();
-        if (!config.settings().listMustBeAsked()) {
-            stages.discovery.watch();
-        }
         reload.actsOn(stages);
         net.every(SECOND, stages::sweep);
         lastNs = clock.now();
         net.every(WATCH_NS, this::watchLoop);
-        listen(LISTEN_TRIES, code);
+        listenOnceListed(code);
+    }
+
+    /** Puts the stages together and asks discovery for the list. */
+    private void prepare() {
+        stages = new Stages(memory == null ? config : memory.startsFrom(), net, clock, log, life);
+        if (!config.settings().listMustBeAsked()) {
+            stages.discovery.watch();
+        }
+    }
+
+    /** Without a list that is known to be true requests are better served elsewhere; but not for long. */
+    private void listenOnceListed(AtomicInteger code) {
+        if (life.is(Life.Phase.ENDED)) {
+            return;
+        }
+        if (stages.discovery.settled() || clock.now() >= startedNs + LIST_WITHIN_NS) {
+            listen(LISTEN_TRIES, code);
+        } else {
+            net.after(LIST_LOOK_NS, () -> listenOnceListed(code));
+        }
     }
 
     /** A predecessor may hold the address for a moment after it was told to go. */
