Seeded soak: a real process among servers, discovery and platform that fail, with signals

Soak draws from its seed what happens: servers drain, end, listen again before they are listed; discovery is crowded, silent, slow or moved with SIGHUP; watches, news and server connections are cut; attempts fail, are reset or slow; the process is held up for 0.14 s, and killed and started anew with an old list.

--- /dev/null
+++ b/sidecar/src/test/java/mulleinlever/sidecar/Soak.java
@@ -0,0 +1,352 @@
+package mulleinlever.sidecar;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One seeded run of the program among servers, a discovery and a platform that fail: what happens, when and to whom is drawn
+ * from the seed. Whatever breaks a rule is collected; times are milliseconds of the monotonic clock.
+ */
+final class Soak extends StandIns {
+    private static final Pattern ID = Pattern.compile("'([^']*)'.*id=([0-9a-f]+),c=(\\w+)");
+    private static final int SERVERS = 6;
+    private static final int CLIENTS = 4;
+    private static final long FAULTS_MS = 16_000;
+    private static final long CALM_MS = 9_000;
+    private static final long TOLD_MS = 6_000;
+    private static final long TOLD_MOVED_MS = 4_000;
+    private static final long GRACE_MS = 250;
+    private static final long WINDOW_MS = 400;
+    private static final long LATE_MS = 500;
+    /** How late the threads of this rig may see what happened. */
+    private static final long RIG_MS = 100;
+    private static final long FOREVER = Long.MAX_VALUE / 2;
+
+    private enum Mode { RIGHT, CROWDED, SILENT, SLOW }
+
+    /** One server: what the list says of it, since when, and how it behaves. */
+    private final class Server {
+        final int number;
+        volatile String state = "ready";
+        volatile long leftMs = FOREVER;
+        /** When discovery wrote to the sidecar that it leaves. */
+        volatile long writtenMs = FOREVER;
+        volatile int resets;
+        volatile int errors;
+        volatile long delayMs;
+
+        Server(int number) throws IOException {
+            this.number = number;
+            pod(this::answer);
+        }
+
+        boolean answer(String query, DataOutputStream out) throws Exception {
+            long now = now();
+            Matcher m = ID.matcher(query);
+            if (!m.find()) {
+                broken("unknown statement " + query);
+                return false;
+            }
+            long toldMs = Math.min(Math.min(writtenMs, leftMs + TOLD_MS), movedMs > leftMs ? movedMs + TOLD_MOVED_MS : FOREVER);
+            if (!state.equals("ready") && now > toldMs + GRACE_MS + RIG_MS) {
+                broken("drain: p" + number + " got " + m.group(2) + " " + (now - toldMs) + " ms after told");
+            }
+            if (state.equals("draining")) {
+                return refuse(out, "53300");
+            }
+            ran(m.group(2), m.group(3), now);
+            if (delayMs > 0) {
+                Thread.sleep(delayMs);
+            }
+            if (resets > 0) {
+                resets--;
+                return false;
+            }
+            if (errors > 0) {
+                errors--;
+                return refuse(out, "XX000");
+            }
+            return give(out, m.group(1));
+        }
+
+        private void ran(String id, String route, long now) {
+            long[] first = ran.computeIfAbsent(id, i -> new long[] {now, number});
+            if (route.equals("put") && (first[1] % 2 != number % 2 || now > first[0] + WINDOW_MS + RIG_MS)) {
+                broken("duplicate: put " + id + " at p" + first[1] + ", " + (now - first[0]) + " ms later at p" + number);
+            }
+        }
+    }
+
+    private final long seed;
+    private final SplittableRandom random;
+    private final List<Server> servers = new ArrayList<>();
+    private final Map<String, long[]> ran = new ConcurrentHashMap<>();
+    private final Queue<String> broken = new ConcurrentLinkedQueue<>();
+    private final Queue<String> story = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger asked = new AtomicInteger();
+    private final AtomicInteger ids = new AtomicInteger();
+    private final long startMs = System.nanoTime() / 1_000_000;
+    private volatile Mode mode = Mode.RIGHT;
+    private volatile int version = 7;
+    private volatile long movedMs = -FOREVER;
+    private volatile long killedMs = -FOREVER;
+    private volatile boolean over;
+
+    Soak(long seed) throws IOException {
+        this.seed = seed;
+        this.random = new SplittableRandom(seed);
+        this.folder = Files.createTempDirectory("soak");
+        this.discovery = new Listener(this::serveList);
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(new Server(i));
+        }
+    }
+
+    private long now() {
+        return System.nanoTime() / 1_000_000 - startMs;
+    }
+
+    private void broken(String what) {
+        broken.add("seed " + seed + " at " + now() + " ms: " + what);
+    }
+
+    private void tell(String what) {
+        story.add(now() + " " + what);
+    }
+
+    private void serveList(DataInputStream in, DataOutputStream out) throws Exception {
+        line(in);
+        while (!line(in).isEmpty()) { }
+        if (mode == Mode.CROWDED) {
+            Thread.sleep(1_000);
+            out.writeBytes("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+        out.writeBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        int told = -1;
+        while (true) {
+            while (mode == Mode.SILENT) {
+                Thread.sleep(20);
+            }
+            int at = version;
+            if (at == told) {
+                chunk(out, "\n");
+            } else {
+                String[] entries = servers.stream().filter(s -> !s.state.equals("gone"))
+                        .map(s -> entry(s.number, 1, s.state)).toArray(String[]::new);
+                List<Server> leaving = servers.stream().filter(s -> !s.state.equals("ready")).toList();
+                chunk(out, list(at, true, entries) + "\n");
+                leaving.stream().filter(s -> !s.state.equals("ready"))
+                        .forEach(s -> s.writtenMs = Math.min(s.writtenMs, now()));
+                told = at;
+            }
+            for (int i = 0; i < 20 && version == told; i++) {
+                Thread.sleep(50);
+            }
+        }
+    }
+
+    private void chunk(DataOutputStream out, String text) throws Exception {
+        int step = mode == Mode.SLOW ? 150 : text.length();
+        for (int i = 0; i < text.length(); i += step) {
+            String part = text.substring(i, Math.min(text.length(), i + step));
+            out.writeBytes(Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+            Thread.sleep(mode == Mode.SLOW ? 200 : 0);
+        }
+    }
+
+    private static void cut(Listener listener) throws IOException {
+        for (Socket s : listener.open) {
+            s.close();
+        }
+    }
+
+    /** The list changes, and with it what the server does. */
+    private void change(Server s, String state) {
+        if (s.leftMs == FOREVER && !state.equals("ready")) {
+            s.leftMs = now();
+        }
+        s.state = state;
+        if (state.equals("ready")) {
+            s.leftMs = FOREVER;
+            s.writtenMs = FOREVER;
+        }
+        version++;
+        tell("p" + s.number + " " + state);
+    }
+
+    /** It drains, ends, listens again before it is listed, and is listed. */
+    private void replace(Server s, long drainsMs, long gone, long unlisted) {
+        thread(() -> {
+            change(s, "draining");
+            Thread.sleep(drainsMs);
+            change(s, "gone");
+            pods.get(s.number).close();
+            Thread.sleep(gone);
+            pods.get(s.number).reopen();
+            tell("p" + s.number + " listens");
+            Thread.sleep(unlisted);
+            change(s, "ready");
+        });
+    }
+
+    private void event() throws Exception {
+        Server s = servers.get(random.nextInt(SERVERS));
+        int what = random.nextInt(12);
+        tell("event " + what);
+        switch (what) {
+            case 0, 1, 2 -> {
+                long ready = servers.stream().filter(o -> o.state.equals("ready")).count();
+                if (s.state.equals("ready") && ready > SERVERS / 2) {
+                    replace(s, 500 + random.nextInt(1_500), 1_000 + random.nextInt(6_000), 200 + random.nextInt(1_200));
+                }
+            }
+            case 3 -> mode = Mode.CROWDED;
+            case 4 -> mode = Mode.SILENT;
+            case 5 -> mode = random.nextBoolean() ? Mode.SLOW : Mode.RIGHT;
+            case 6 -> cut(discovery);
+            case 7 -> cut(platform);
+            case 8 -> hold();
+            case 9 -> {
+                Listener old = discovery;
+                discovery = new Listener(this::serveList);
+                configure(256);
+                movedMs = now();
+                hangUp();
+                thread(() -> {
+                    Thread.sleep(1_500);
+                    old.close();
+                });
+            }
+            case 10 -> {
+                s.resets += random.nextInt(4);
+                s.errors += random.nextInt(4);
+                s.delayMs = random.nextInt(3) == 0 ? 50 + random.nextInt(400) : 0;
+                cut(pods.get(s.number));
+            }
+            default -> {
+                if (killedMs < 0 && random.nextBoolean()) {
+                    killedMs = FOREVER;
+                    process.destroyForcibly().waitFor();
+                    start();
+                    killedMs = now();
+                }
+            }
+        }
+        if (mode == Mode.CROWDED) {
+            cut(discovery);
+        }
+    }
+
+    private void hold() throws Exception {
+        new ProcessBuilder("kill", "-STOP", "" + process.pid()).start().waitFor();
+        Thread.sleep(140);
+        new ProcessBuilder("kill", "-CONT", "" + process.pid()).start().waitFor();
+    }
+
+    private void client(SplittableRandom chance) throws Exception {
+        while (!over) {
+            try (Client c = new Client()) {
+                while (!over) {
+                    ask(c, chance);
+                    Thread.sleep(5 + chance.nextInt(30));
+                }
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    private void ask(Client c, SplittableRandom chance) throws IOException {
+        int number = ids.incrementAndGet();
+        String id = String.format("%016x", number);
+        boolean put = chance.nextInt(4) == 0;
+        long waitsMs = 300 + chance.nextInt(1_100);
+        String ref = "v" + number;
+        long fromMs = now();
+        asked.incrementAndGet();
+        String answer;
+        try {
+            answer = c.ask(put
+                    ? "INSERT INTO entries (ref) VALUES ('" + ref + "') /* id=" + id + ",c=put,t=acme,d=" + waitsMs + ",k=5c0f */"
+                    : "SELECT payload FROM entries WHERE ref = '" + ref + "' /* id=" + id + ",c=get,t=acme,d=" + waitsMs + " */");
+        } catch (IOException e) {
+            // The kill takes its connections with it.
+            if (!over && fromMs > killedMs) {
+                broken("lost: no answer to " + id + ": " + e);
+            }
+            throw e;
+        }
+        long tookMs = now() - fromMs;
+        if (tookMs > waitsMs + LATE_MS + RIG_MS) {
+            broken("lost: " + id + " answered after " + tookMs + " of " + waitsMs + " ms");
+        }
+        if (answer.startsWith("T")) {
+            served.incrementAndGet();
+            if (!answer.equals("TD" + ref + "C")) {
+                broken("lost: " + id + " was answered " + answer);
+            }
+        } else if (put && answer.startsWith("E53300") && ran.containsKey(id)) {
+            broken("refused: put " + id + " may have run");
+        }
+    }
+
+    /** Plays the run, and returns what was broken. */
+    List<String> play() throws Exception {
+        try {
+            start();
+            for (int i = 0; i < CLIENTS; i++) {
+                SplittableRandom chance = random.split();
+                thread(() -> client(chance));
+            }
+            while (now() < FAULTS_MS) {
+                Thread.sleep(100 + random.nextInt(900));
+                event();
+            }
+            tell("calm");
+            mode = Mode.RIGHT;
+            servers.forEach(s -> {
+                s.resets = 0;
+                s.errors = 0;
+                s.delayMs = 0;
+            });
+            Thread.sleep(CALM_MS);
+            served.set(0);
+            asked.set(0);
+            Thread.sleep(2_000);
+            if (served.get() < 0.9 * asked.get() || served.get() < 20) {
+                broken("not recovered: " + served + " of " + asked + " served " + CALM_MS + " ms after the last fault");
+            }
+            over = true;
+            process.destroy();
+            if (!process.waitFor(4, java.util.concurrent.TimeUnit.SECONDS)) {
+                broken("still there 4 s after SIGTERM");
+            }
+            logged().lines().filter(l -> l.contains("fault")).limit(3).forEach(this::broken);
+        } finally {
+            over = true;
+            end();
+        }
+        return List.copyOf(broken);
+    }
+
+    /** What happened and what the program logged of it but for its counts, for whoever looks into a broken run. */
+    String story() {
+        return String.join("\n", story) + "\n" + logged().lines().filter(l -> l.matches(".* (discovery|reload|life|clients): .*"))
+                .reduce("", (a, b) -> a + "\n" + b);
+    }
+}
