--- a/core/src/main/java/mulleinlever/ListLease.java
+++ b/core/src/main/java/mulleinlever/ListLease.java
@@ -1,10 +1,10 @@
 package mulleinlever;
 
 /**
- * Decides which servers of the list may be sent to. A change of the list counts as told some time after it was made,
- * whether or not it arrived. While nobody confirms the list, every server on it may therefore be used for that long
- * only; afterwards only those that have shown since, by serving a request, that they had not left when it was sent.
- * Times are nanoseconds of the monotonic clock.
+ * Decides which servers of the list may be sent to. A change of the list counts as told some time after it
+ * was made, whether or not it arrived. While nobody confirms the list, every server on it may therefore be
+ * used for that long only; afterwards only those that have shown since, by serving a request, that they had
+ * not left when it was sent. Times are nanoseconds of the monotonic clock.
  */
 final class ListLease {
     /** From a change to when it counts as told at the latest. */
@@ -62,8 +62,9 @@
     }
 
     /**
-     * A call has found discovery reachable, or not: a change counts as told only so long after discovery could be reached. From one
-     * call that did not reach it to the next the lease does not run; a list of any age is trusted from the first on.
+     * A call has found discovery reachable, or not: a change counts as told only so long after discovery
+     * could be reached. From one call that did not reach it to the next the lease does not run; a list of any
+     * age is trusted from the first on.
      */
     void called(boolean reached, long nowNs) {
         if (reached || confirmed) {
@@ -92,7 +93,8 @@
 
     /** A server that was sent a request at that time has served it. */
     void served(Pod server, long sentNs) {
-        // A connection that broke since may mean that another process listens there, which nobody has told of.
+        // A connection that broke since may mean that another process listens there, which nobody has told
+        // of.
         if (confirmed || server.brokeNs <= confirmedNs) {
             server.servedSentNs = Math.max(server.servedSentNs, sentNs);
         }
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -151,7 +151,10 @@
     private final Decay completed = new Decay(MEASURE_HALF_LIFE);
 
     private boolean watching;
-    /** Whether discovery was asked and has neither answered nor failed: asking again would give up the place in line. */
+    /**
+     * Whether discovery was asked and has neither answered nor failed: asking again would give up the place
+     * in line.
+     */
     private boolean asking;
     private long askAgainNs;
     private int asksFailed;
@@ -211,7 +214,8 @@
         listConfirmed(now);
         for (PodEntry e : entries) {
             Zone in = zones.computeIfAbsent(e.zone(), z -> new Zone());
-            pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE)).take(e, in, starts, beforeNs, now);
+            Pod p = pods.computeIfAbsent(e.id(), id -> new Pod(e, MEASURE_HALF_LIFE));
+            p.take(e, in, starts, beforeNs, now);
         }
         if (!told) {
             // Until there is news, all but the lowest build counts as on trial.
@@ -230,7 +234,10 @@
         lease.confirmed(now);
     }
 
-    /** Since then nobody has confirmed the list; until that is mended its servers may be used for a while only. */
+    /**
+     * Since then nobody has confirmed the list; until that is mended its servers may be used for a while
+     * only.
+     */
     public void listUnconfirmed(long sinceNs) {
         lease.unconfirmedSince(sinceNs);
     }
@@ -493,7 +500,8 @@
     }
 
     private boolean allowed(long now, Rq rq, Pod p) {
-        return p.ready() && lease.covers(now, p) && rq.mayGoTo(p.is) && exposureRoom(now, rq, p) && coldRoom(now, p);
+        return p.ready() && lease.covers(now, p) && rq.mayGoTo(p.is)
+                && exposureRoom(now, rq, p) && coldRoom(now, p);
     }
 
     private void measure(long now, Row row, Try t, Ending ending, long tookNs) {
@@ -827,8 +835,8 @@
 
     public Sight sight(long now) {
         return new Sight(room.most(), room.open(), firstTries.size(), furtherTries.size(), room.ease(now),
-                listed.all().size(), whole.all().size(), whole.count(p -> fit(now, p)), whole.count(p -> cold(now, p)),
-                whole.count(Policy::dark));
+                listed.all().size(), whole.all().size(), whole.count(p -> fit(now, p)),
+                whole.count(p -> cold(now, p)), whole.count(Policy::dark));
     }
 
     // ---- What is remembered over a restart.
--- a/core/src/main/java/mulleinlever/Room.java
+++ b/core/src/main/java/mulleinlever/Room.java
@@ -1,8 +1,8 @@
 package mulleinlever;
 
 /**
- * Decides how many tries one sidecar may have open at all pods together. The longer answers take, the fewer: what waits at
- * the sidecar can be shed or go elsewhere, what waits at a pod can't.
+ * Decides how many tries one sidecar may have open at all pods together. The longer answers take, the fewer:
+ * what waits at the sidecar can be shed or go elsewhere, what waits at a pod can't.
  */
 final class Room {
     private static final long HALF_LIFE = 1_000_000_000L;
@@ -15,7 +15,9 @@
 
     private final int sidecars;
     private final Mean ease = new Mean(HALF_LIFE);
-    /** Seconds that the reqs that came want at pods at ease: a second's worth of it is what they keep open. */
+    /**
+     * Seconds that the reqs that came want at pods at ease: a second's worth of it is what they keep open.
+     */
     private final Decay wanted = new Decay(RATE_HALF_LIFE);
     private double most;
     private int open;
@@ -49,7 +51,9 @@
         open--;
     }
 
-    /** How long a try took, in shares of its latency objective; what was never answered counts as just late. */
+    /**
+     * How long a try took, in shares of its latency objective; what was never answered counts as just late.
+     */
     void took(long nowNs, double part, boolean unanswered) {
         ease.add(nowNs, unanswered ? Math.min(1, part) : part);
     }
@@ -71,7 +75,8 @@
     void adjust(long nowNs, int pods) {
         double least = least(nowNs, pods);
         most = Math.max(most, least);
-        // Of a few answers chance alone makes the mean lie above its own by as much again over the root of their number.
+        // Of a few answers chance alone makes the mean lie above its own by as much again over the root of
+        // their number.
         double seen = Math.max(1, ease.figure(nowNs).weight());
         double tense = ease(nowNs) / (1 + 1 / Math.sqrt(seen)) / AT_EASE;
         if (tense > 1) {
@@ -87,9 +92,9 @@
     }
 
     /**
-     * An even share of what the pods can always take; but traffic is not spread evenly over sidecars, so it is also what
-     * this one's own reqs keep open where answers take as long as at ease, by Little's law: if all do so, pods asked for
-     * twice what they can do take twice that long, and no longer.
+     * An even share of what the pods can always take; but traffic is not spread evenly over sidecars, so it
+     * is also what this one's own reqs keep open where answers take as long as at ease, by Little's law: if
+     * all do so, pods asked for twice what they can do take twice that long, and no longer.
      */
     private double least(long nowNs, int pods) {
         return Math.max(Math.max(2, LEAST_A_POD * pods / sidecars), wanted.perSecond(nowNs));
