--- a/sidecar/src/test/java/mulleinlever/sidecar/Soak.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/Soak.java
@@ -24,7 +24,7 @@
     private static final Pattern ID = Pattern.compile("'([^']*)'.*id=([0-9a-f]+),c=(\\w+)");
     private static final int SERVERS = 6;
     private static final int CLIENTS = 4;
-    private static final long FAULTS_MS = 16_000;
+    private static final long FAULTS_MS = 20_000;
     private static final long CALM_MS = 9_000;
     private static final long TOLD_MS = 6_000;
     private static final long TOLD_MOVED_MS = 4_000;
@@ -102,6 +102,7 @@
     private final long startMs = System.nanoTime() / 1_000_000;
     private volatile Mode mode = Mode.RIGHT;
     private volatile int version = 7;
+    private volatile long outageEndsMs;
     private volatile long movedMs = -FOREVER;
     private volatile long killedMs = -FOREVER;
     private volatile boolean over;
@@ -212,12 +213,14 @@
             case 0, 1, 2 -> {
                 long ready = servers.stream().filter(o -> o.state.equals("ready")).count();
                 if (s.state.equals("ready") && ready > SERVERS / 2) {
-                    replace(s, 500 + random.nextInt(1_500), 1_000 + random.nextInt(6_000), 200 + random.nextInt(1_200));
+                    replace(s, 500 + random.nextInt(1_500), 2_000 + random.nextInt(5_000), 1_000 + random.nextInt(4_000));
                 }
             }
-            case 3 -> mode = Mode.CROWDED;
-            case 4 -> mode = Mode.SILENT;
-            case 5 -> mode = random.nextBoolean() ? Mode.SLOW : Mode.RIGHT;
+            case 3 -> {
+                s.delayMs = 0;
+                mode = now() > outageEndsMs ? Mode.SLOW : mode;
+            }
+            case 4, 5 -> mode = now() > outageEndsMs ? Mode.RIGHT : mode;
             case 6 -> cut(discovery);
             case 7 -> cut(platform);
             case 8 -> hold();
@@ -247,9 +250,14 @@
                 }
             }
         }
-        if (mode == Mode.CROWDED) {
-            cut(discovery);
-        }
+    }
+
+    /** Discovery can be reached and tells nobody anything, for longer than it takes until changes count as told. */
+    private void beginOutage() throws IOException {
+        mode = random.nextBoolean() ? Mode.CROWDED : Mode.SILENT;
+        outageEndsMs = now() + 8_000 + random.nextInt(4_000);
+        tell("discovery is " + mode + " until " + outageEndsMs);
+        cut(discovery);
     }
 
     private void hold() throws Exception {
@@ -313,8 +321,12 @@
                 SplittableRandom chance = random.split();
                 thread(() -> client(chance));
             }
+            long outageMs = 1_000 + random.nextInt(4_000);
             while (now() < FAULTS_MS) {
                 Thread.sleep(100 + random.nextInt(900));
+                if (outageEndsMs == 0 && now() > outageMs) {
+                    beginOutage();
+                }
                 event();
             }
             tell("calm");
