--- a/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
@@ -312,6 +312,8 @@
         var b = new ProcessBuilder(command);
         b.environment().put("LB_CONFIG", file.toString());
         process = b.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        Process started = process;
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
         until(() -> {
             try (Client c = new Client()) {
                 c.query("");
