A call to discovery that stands in a long line is waited for longer from time to time

A call that ends in silence before the first byte now doubles the wait of the next, up to 10.8 s; a watch that has begun is still broken after 2.7 s without a byte.

aCallThatStandsInALongLineIsWaitedFor (a line of 4 s) failed before, not served in 20 s, and passes.

--- a/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Discovery.java
@@ -13,6 +13,8 @@
     /** An empty line comes every 2 s; after this long without one, the other end is gone or cut off. */
     private static final long SILENT_NS = 2_700_000_000L;
 
+    /** How often the wait for the first byte doubles while calls end without one: the line may be long. */
+    private static final int MOST_DOUBLINGS = 2;
     /** An answer that comes slowly is waited for, but not for ever. */
     private static final long OBJECT_NS = 20_000_000_000L;
 
@@ -24,6 +26,8 @@
     private Policy policy;
     private long version;
     private Watch watch;
+    /** Calls in a row that ended in silence without a byte. */
+    private int unanswered;
     private int watches;
     /** When the last line of a watch came, which is when the list was last known to be true; the start before any. */
     private long heardNs;
@@ -86,7 +90,7 @@
         }
         watch = new Watch(++watches);
         log.say("discovery", watch + " opens at generation " + version);
-        watch.open(address, CONNECT_NS, SILENT_NS);
+        watch.open(address, CONNECT_NS, SILENT_NS << Math.min(unanswered, MOST_DOUBLINGS));
     }
 
     /** The list had so far stands; what changed behind its version is told at the other address. */
@@ -151,6 +155,7 @@
             log.say("discovery", this + " has ended: " + reason + " " + history() + ", list "
                     + (heard ? "confirmed " : "never confirmed, taken ") + ageNs() / 1_000_000 + " ms ago");
             policy.listUnconfirmed(heardNs);
+            unanswered = reason == EndReason.SILENT && !begun() ? unanswered + 1 : 0;
             unreached = reason == EndReason.REFUSED;
             policy.listCalled(clock.now(), !unreached);
             policy.listFailed(clock.now());
--- a/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Lines.java
@@ -71,7 +71,7 @@
         openedNs = System.nanoTime();
         limit(limitNs);
         channel = net.connect(to, withinNs, this, cause -> {
-            connectError = cause.toString();
+            connectError = ": " + cause.getMessage();
             boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
             ended(refused ? EndReason.REFUSED : EndReason.CONNECT_FAILED);
         });
@@ -103,9 +103,9 @@
         }
     }
 
-    /** How long the peer let us wait for the first byte of its answer, until now if none came; nanoseconds. */
-    final long waitedNs() {
-        return (firstByteNs > 0 ? firstByteNs : System.nanoTime()) - openedNs;
+    /** Whether any byte has come. */
+    final boolean begun() {
+        return firstByteNs != 0;
     }
 
     /** What happened on this connection and when, in milliseconds since it began to open. */
--- a/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StaleListTest.java
@@ -24,6 +24,8 @@
 
     /** Whether each call waits in line until discovery gives it up. */
     private volatile boolean crowded;
+    /** How long each call stands in line before it is served. */
+    private volatile long lineMs;
     /** A list that is written twenty characters each half a second. */
     private volatile String slowly;
 
@@ -32,6 +34,7 @@
     }
 
     private void discoverInLine(DataInputStream in, DataOutputStream out) throws Exception {
+        Thread.sleep(lineMs);
         if (slowly != null) {
             discovery.told.add(line(in));
             while (!line(in).isEmpty()) { }
@@ -157,6 +160,20 @@
         until(() -> discovery.told.size() == 2);
     }
 
+    // A call that stood in a long line was given up after 2.7 s and made again at its end, so it was never served.
+    @Test
+    void aCallThatStandsInALongLineIsWaitedFor() throws Exception {
+        pod((q, out) -> give(out, "v"));
+        start();
+        until(() -> discovery.told.size() == 1);
+        lineMs = 4_000;
+        extraLines.add(list(8, false));
+        for (var watch : discovery.open) {
+            watch.close();
+        }
+        until(() -> logged().contains("list: generation 8"));
+    }
+
     // A watch opened anew that has nothing new to tell was given up every four seconds, one more call each time.
     @Test
     void aWatchThatStandsIsKeptThoughNothingChanges() throws Exception {
