--- a/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/StandIns.java
@@ -13,6 +13,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -74,6 +75,11 @@
             accept(again);
         }
 
+        /** Where it listens, or did before it was closed. */
+        SocketAddress bound() {
+            return at.getLocalSocketAddress();
+        }
+
         String address() {
             return "127.0.0.1:" + at.getLocalPort();
         }
@@ -339,6 +345,24 @@
         }
     }
 
+    /** Asks again until a row comes. */
+    void untilServed(Client client) throws InterruptedException {
+        until(() -> {
+            try {
+                return client.ask(get("1", 1400)).equals("TDvC");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    /** Ends all open connections of a stand-in. */
+    static void cut(Listener listener) throws IOException {
+        for (Socket s : listener.open) {
+            s.close();
+        }
+    }
+
     /** A client's connection; an answer reads as its type, a row with its value, an error with its code. */
     final class Client implements Closeable {
         final Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
