--- a/review/src/LongValues.java
+++ b/review/src/LongValues.java
@@ -13,10 +13,10 @@
  * written whole to an open connection gets its final answer.
  */
 public final class LongValues {
-    static final double USUAL_RATE = 320;
-    static final double JUMP = 2.3;
+    static final double USUAL_RATE = 240;
+    static final double JUMP = 2.2;
     static final double JUMP_AFTER_S = 8;
-    static final double JUMP_FOR_S = 9.5;
+    static final double JUMP_FOR_S = 9;
     static final double SECONDS = 24;
     static final int SOCKETS = 1024;
     static final int VALUE_BYTES = 64 * 1024;
