--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -76,6 +76,29 @@
         }
     }
 
+    /** Plays a case; one that could not run ends with exit code 2. */
+    static void play(Work work) {
+        try {
+            work.run();
+        } catch (Throwable e) {
+            e.printStackTrace(System.out);
+            System.exit(2);
+        }
+    }
+
+    /** Copies the sidecar's log to the record and deletes the temporary folder. */
+    static void takeLog(Path folder, Record record) throws IOException {
+        for (String line : Files.readAllLines(folder.resolve("sidecar.log"))) {
+            record.line("log of the sidecar: %s", line);
+        }
+        try (var files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
+    }
+
     /** The record of a run: what was sent, answered and run. */
     static final class Record implements Closeable {
         private final PrintStream out;
--- a/review/src/LateCopy.java
+++ b/review/src/LateCopy.java
@@ -49,7 +49,11 @@
              "reporting":{"source":"off"}}
             """;
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        Kit.play(() -> play(args));
+    }
+
+    private static void play(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path folder = Files.createTempDirectory("late-copy");
         AtomicInteger copies = new AtomicInteger();
@@ -150,6 +154,7 @@
                 }
                 Thread.sleep(3600);
             }
+            Kit.takeLog(folder, record);
             record.summary(
                     "%d requests, %d served, %d refused, %d failed or unanswered; %d second copies; %d served with the value of another request",
                     sent.get(), served.get(), refused.get(), failed.get(), copies.get(), foreign.get());
--- a/review/src/LongValues.java
+++ b/review/src/LongValues.java
@@ -24,7 +24,11 @@
     /** The mean work of each route, in milliseconds. */
     static final double[] WORK_MS = {340, 230, 140};
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        Kit.play(() -> play(args));
+    }
+
+    private static void play(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path folder = Files.createTempDirectory("long-values");
         AtomicInteger sent = new AtomicInteger();
@@ -131,11 +135,7 @@
                 Thread.sleep(6000);
                 ended = !sidecar.process.isAlive();
             }
-            for (String line : Files.readAllLines(folder.resolve("sidecar.log"))) {
-                if (line.contains("Cannot reserve") || line.contains("late by")) {
-                    record.line("log of the sidecar: %s", line);
-                }
-            }
+            Kit.takeLog(folder, record);
             record.summary(
                     "%d requests: %d served, %d refused, %d failed, %d closed, %d long ones without an answer, "
                             + "%d short ones without an answer (lost); %d not sent for want of a connection%s",
--- a/review/src/StoppedClients.java
+++ b/review/src/StoppedClients.java
@@ -19,7 +19,11 @@
     static final int STOPPED_CLIENTS = 200;
     static final double STOP_AFTER_MS = 6000;
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        Kit.play(() -> play(args));
+    }
+
+    private static void play(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path folder = Files.createTempDirectory("stopped-clients");
         AtomicInteger sent = new AtomicInteger();
@@ -126,6 +130,7 @@
                 }
                 Thread.sleep(6000);
             }
+            Kit.takeLog(folder, record);
             record.summary(
                     "%d requests: %d served, %d refused, %d failed, %d closed twice, %d without a final answer (%d could not connect); "
                             + "clients that stopped: %d got an error or close within 3 s, %d did not",
