Clients that stop in the middle of a request give way to new ones, and end within 3 s

Cause: a message could stay incomplete for 10 s, and forever if single bytes came (the clock was that of the last byte). At the maximum of client connections accepting paused unless one was idle; a half-sent message is not idle, and accepting resumed only when a connection ended, not when one became idle. The connection that was closed for a new one could be one accepted in the same turn of the loop, whose first request was not read yet (3 were closed twice).

Evidence: the count line stood at clients=140 for 10.5 s while in= fell from 25 to 7 a second, without `loop: late` and `accept failed`, and with up to six open tries: neither the loop nor descriptors nor pods. Counts that were missing are new: accept_paused, evicted, stalled.

Change: ClientConnectionPolicy (pure) decides who is closed. A message has 2.5 s from its first byte, the startup message from the accept, checked ten times a second; not while the sidecar itself reads nothing. At the bound accepting pauses, and once all arrived bytes are read one connection gives way: incomplete messages of over 0.2 s first, then idle ones; tried again every 10 ms. A client that had begun a command is told 53300 or 08P01. One accept in each turn, so that the bound is not passed by up to 15.

closesStalledButNotIdleClients expected a close without an error from a client in the middle of a command; it now gets 08P01 first, as other malformed input does. The test checks that code and then the close, within 10 s where it allowed 20 s.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -8,6 +8,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import mulleinlever.ClientConnectionPolicy;
+import mulleinlever.ClientConnectionPolicy.State;
 import mulleinlever.settings.InvalidInputException;
 
 /**
@@ -21,12 +23,8 @@
      */
     private static final int MAX_PIPELINED_COMMANDS = 32;
 
-    /**
-     * How long a client may make no progress while its startup message is missing, a message is
-     * incomplete or responses are unread. Such a client could hold its connection and buffers
-     * forever.
-     */
-    private static final long STALL_TIMEOUT_NS = 10_000_000_000L;
+    /** The value of {@link #incompleteSinceNs} while the client owes no rest of a message. */
+    private static final long NOT_INCOMPLETE = Long.MIN_VALUE;
 
     /** The code of SSLRequest, in the place of a startup message's protocol version. */
     private static final int SSL_REQUEST_CODE = 80_877_103;
@@ -49,9 +47,15 @@
     private boolean startupComplete;
     private boolean closing;
 
-    /** When bytes were last received or a response was last written. */
+    /** When bytes were last received, or a response was last written or taken by the network. */
     private long lastProgressNs;
 
+    /**
+     * When the first byte of an incomplete message was received or, if reading paused meanwhile,
+     * when it resumed; {@link #NOT_INCOMPLETE} if there is none or reading is paused.
+     */
+    private long incompleteSinceNs = NOT_INCOMPLETE;
+
     /** The capacity of the buffer that holds received bytes not yet decoded into a command. */
     private int partialMessageBytes;
 
@@ -78,7 +82,8 @@
         channel = ctx.channel();
         decoder = new PostgresMessageDecoder(ctx.alloc());
         lastProgressNs = clock.nowNs();
-        clientConnections.connectionOpened(this, lastProgressNs);
+        incompleteSinceNs = lastProgressNs;
+        clientConnections.connectionOpened(this);
     }
 
     @Override
@@ -94,8 +99,10 @@
 
     /** Decodes and handles messages until reading has to pause, and sets auto-read accordingly. */
     private void decode() {
+        boolean anyMessage = false;
         try {
             while (!closing && canRead() && decoder.nextMessage(startupComplete)) {
+                anyMessage = true;
                 if (startupComplete) {
                     handleMessage();
                 } else {
@@ -106,7 +113,18 @@
             rejectMalformedInput(e.getMessage());
         }
         updatePartialMessageBytes(decoder.retainedCapacityBytes());
-        channel.config().setAutoRead(!closing && canRead());
+        boolean readsOn = !closing && canRead();
+        updateIncompleteSince(readsOn, anyMessage);
+        channel.config().setAutoRead(readsOn);
+    }
+
+    private void updateIncompleteSince(boolean readsOn, boolean anyMessage) {
+        boolean incomplete = !startupComplete || decoder.hasUnreadBytes();
+        if (!readsOn || !incomplete) {
+            incompleteSinceNs = NOT_INCOMPLETE;
+        } else if (anyMessage && startupComplete || incompleteSinceNs == NOT_INCOMPLETE) {
+            incompleteSinceNs = clock.nowNs();
+        }
     }
 
     private void updatePartialMessageBytes(int currentBytes) {
@@ -120,7 +138,10 @@
         return partialMessageBytes + unsentResponseBytes > 0;
     }
 
-    /** Returns when bytes were last received or a response was last written. */
+    /**
+     * Returns when bytes were last received, or a response was last written or taken by the
+     * network.
+     */
     long lastProgressNs() {
         return lastProgressNs;
     }
@@ -194,10 +215,16 @@
      * commands received before it.
      */
     private void rejectMalformedInput(String reason) {
+        respondAndClose(PostgresMessages.PROTOCOL_VIOLATION, reason);
+    }
+
+    /**
+     * Responds with an error, after the responses to all commands received before, and closes the
+     * connection then.
+     */
+    private void respondAndClose(String code, String reason) {
         closing = true;
-        respond(
-                PostgresMessages.errorResponse(
-                        PostgresMessages.PROTOCOL_VIOLATION, reason, 0, false));
+        respond(PostgresMessages.errorResponse(code, reason, 0, false));
     }
 
     /** Queues the response to a command that is not a req behind those of earlier commands. */
@@ -247,6 +274,7 @@
     }
 
     private void responseSent(int responseBytes) {
+        lastProgressNs = clock.nowNs();
         unsentResponseBytes -= responseBytes;
         clientConnections.addBufferedBytes(-responseBytes);
     }
@@ -267,25 +295,42 @@
         }
     }
 
+    /** Returns what this connection waits for, and since when. */
+    ClientConnectionPolicy.Activity activity() {
+        if (!pendingCommands.isEmpty()) {
+            return new ClientConnectionPolicy.Activity(State.BUSY, lastProgressNs);
+        }
+        if (closing || unsentResponseBytes > 0) {
+            return new ClientConnectionPolicy.Activity(State.AWAITING_READER, lastProgressNs);
+        }
+        if (incompleteSinceNs != NOT_INCOMPLETE) {
+            return new ClientConnectionPolicy.Activity(State.AWAITING_MESSAGE, incompleteSinceNs);
+        }
+        return new ClientConnectionPolicy.Activity(
+                decoder.hasUnreadBytes() ? State.BUSY : State.IDLE, lastProgressNs);
+    }
+
     /**
-     * Returns for how long the client has sent no command, in nanoseconds, or -1 if the connection
-     * isn't idle: it is closing, a command is pending or a message has been received in part.
+     * Closes the connection of a client that keeps the sidecar waiting; a client that has left a
+     * command incomplete gets an error first.
      */
-    long idleNs(long nowNs) {
-        return !closing && pendingCommands.isEmpty() && !decoder.hasUnreadBytes()
-                ? nowNs - lastProgressNs
-                : -1;
+    void closeStalled() {
+        if (startupComplete && activity().state() == State.AWAITING_MESSAGE) {
+            rejectMalformedInput("the message is not complete in time");
+        } else {
+            closeNow();
+        }
     }
 
     /**
-     * Closes the connection if the client hasn't finished its startup, has left a message
-     * incomplete or doesn't read its responses, and this has lasted longer than the stall timeout.
+     * Closes the connection in favor of a new one; a client that has left a message incomplete gets
+     * an error first, by which it may try again.
      */
-    void closeIfStalled(long nowNs) {
-        boolean awaitingPeer =
-                !startupComplete || decoder.hasUnreadBytes() || !channel.isWritable();
-        if (awaitingPeer && nowNs - lastProgressNs > STALL_TIMEOUT_NS) {
-            closeNow();
+    void evict() {
+        if (activity().state() == State.AWAITING_MESSAGE) {
+            respondAndClose(PostgresMessages.TOO_MANY_CONNECTIONS, "too many connections");
+        } else {
+            closeIfIdle();
         }
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -5,6 +5,8 @@
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.Future;
+import mulleinlever.ClientConnectionPolicy;
 
 /**
  * The open connections of all clients. Bounds their number and the memory that clients hold by
@@ -15,21 +17,38 @@
     /** The maximum size of partial messages and unsent responses over all connections. */
     private static final long MAX_BUFFERED_BYTES = 8L << 20;
 
+    /** How long accepting stays paused before another connection is looked for to close. */
+    private static final long ACCEPT_RETRY_DELAY_NS = 10_000_000L;
+
     private final int maxConnections;
     private final Lifecycle lifecycle;
+    private final NettyTransport transport;
+    private final Clock clock;
+    private final SidecarMetrics metrics;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private long bufferedBytes;
 
+    /** The task that looks again for a connection to close; null if none is scheduled. */
+    private Future<?> acceptRetryTask;
+
     /**
      * Creates the set of connections.
      *
-     * @param maxConnections the number of connections at which an idle one is closed or, if none is
-     *     idle, accepting pauses
+     * @param maxConnections the number of connections at which accepting pauses until one of them
+     *     has been closed
      */
-    ClientConnections(int maxConnections, Lifecycle lifecycle) {
+    ClientConnections(
+            int maxConnections,
+            Lifecycle lifecycle,
+            NettyTransport transport,
+            Clock clock,
+            SidecarMetrics metrics) {
         this.maxConnections = maxConnections;
         this.lifecycle = lifecycle;
+        this.transport = transport;
+        this.clock = clock;
+        this.metrics = metrics;
     }
 
     /** Sets the listening channel; called before the first connection is accepted. */
@@ -42,19 +61,43 @@
     }
 
     /**
-     * Adds a connection. At the maximum number, the other connection that has been idle longest is
-     * closed. If none is idle, accepting pauses: new connections wait in the backlog of the
-     * operating system and use up no file descriptors.
+     * Adds a connection. At the maximum number, accepting pauses until a connection has ended or
+     * was closed in favor of new ones: these wait in the backlog of the operating system and use up
+     * no file descriptors.
      */
-    void connectionOpened(ClientConnection opened, long nowNs) {
+    void connectionOpened(ClientConnection opened) {
         connections.add(opened);
         if (connections.size() >= maxConnections) {
-            connections.stream()
-                    .filter(c -> c != opened && c.idleNs(nowNs) >= 0)
-                    .max(Comparator.comparingLong(c -> c.idleNs(nowNs)))
-                    .ifPresentOrElse(
-                            ClientConnection::closeIfIdle,
-                            () -> listener.config().setAutoRead(false));
+            listener.config().setAutoRead(false);
+            metrics.increment(SidecarMetrics.Event.ACCEPT_PAUSED);
+            // In a later turn of the event loop, when all bytes that have arrived are read.
+            transport.execute(this::evictOne);
+        }
+    }
+
+    /**
+     * Closes one connection if the maximum number is reached. Where none can be closed, tries again
+     * after a delay, since connections become idle without any notification.
+     */
+    private void evictOne() {
+        if (connections.size() < maxConnections) {
+            return;
+        }
+        ClientConnectionPolicy.selectForEviction(
+                        connections, ClientConnection::activity, clock.nowNs())
+                .ifPresent(
+                        selected -> {
+                            metrics.increment(SidecarMetrics.Event.EVICTED);
+                            selected.evict();
+                        });
+        cancelAcceptRetry();
+        acceptRetryTask = transport.schedule(ACCEPT_RETRY_DELAY_NS, this::evictOne);
+    }
+
+    private void cancelAcceptRetry() {
+        if (acceptRetryTask != null) {
+            acceptRetryTask.cancel(false);
+            acceptRetryTask = null;
         }
     }
 
@@ -62,6 +105,7 @@
     void connectionClosed(ClientConnection closed) {
         connections.remove(closed);
         if (connections.size() < maxConnections && !listener.config().isAutoRead()) {
+            cancelAcceptRetry();
             listener.config().setAutoRead(true);
         }
     }
@@ -82,11 +126,15 @@
         }
     }
 
-    /**
-     * Closes the connections whose clients have made no progress for longer than the stall timeout.
-     */
-    void closeStalled(long nowNs) {
-        new ArrayList<>(connections).forEach(c -> c.closeIfStalled(nowNs));
+    /** Closes the connections whose clients keep the sidecar waiting for too long. */
+    void closeStalled() {
+        long nowNs = clock.nowNs();
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            if (ClientConnectionPolicy.isStalled(connection.activity(), nowNs)) {
+                metrics.increment(SidecarMetrics.Event.STALLED);
+                connection.closeStalled();
+            }
+        }
     }
 
     /** Stops accepting and closes idle connections; the others close after their last response. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/NettyTransport.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/NettyTransport.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -151,6 +152,11 @@
                 .group(eventLoop, eventLoop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                // One accept in each turn of the event loop, so that no connection is accepted
+                // after accepting was paused.
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, allocator)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, newReceiveBufferAllocator())
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -37,9 +37,14 @@
         this.clock = clock;
         this.log = log;
         Settings settings = config.settings();
-        clientConnections =
-                new ClientConnections((int) (CLIENT_SOCKET_SHARE * config.maxSockets()), lifecycle);
         metrics = new SidecarMetrics(clock, log);
+        clientConnections =
+                new ClientConnections(
+                        (int) (CLIENT_SOCKET_SHARE * config.maxSockets()),
+                        lifecycle,
+                        transport,
+                        clock,
+                        metrics);
         reqRegistry = new ReqRegistry(clock, metrics);
         connectionPool =
                 new PodConnectionPool(
@@ -97,10 +102,9 @@
         }
     }
 
-    /** Closes stalled and expired connections and logs the counts. Called every second. */
+    /** Closes expired connections to pods and logs the counts. Called every second. */
     void runMaintenance() {
         reportWallClockStep();
-        clientConnections.closeStalled(clock.nowNs());
         connectionPool.evictExpired(clock.nowNs());
         metrics.logAndReset(
                 policy.stats(clock.nowNs()),
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
@@ -42,7 +42,13 @@
         /** A connection to a pod was refused, by the network or by the pod. */
         REFUSED,
         /** A connection to a pod was not ready within the connect timeout. */
-        TOO_LATE
+        TOO_LATE,
+        /** Accepting paused at the maximum number of client connections. */
+        ACCEPT_PAUSED,
+        /** A client connection was closed in favor of a new one. */
+        EVICTED,
+        /** A client connection was closed because its client kept the sidecar waiting. */
+        STALLED
     }
 
     /** The maximum number of shed, errored or overdue reqs that are logged with their tries. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarServer.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarServer.java
@@ -39,6 +39,7 @@
     private static final long BIND_RETRY_DELAY_NS = 250 * MILLISECOND_NS;
     private static final int MAX_BIND_ATTEMPTS = 40;
     private static final long LOOP_CHECK_INTERVAL_NS = 50 * MILLISECOND_NS;
+    private static final long STALL_CHECK_INTERVAL_NS = 100 * MILLISECOND_NS;
 
     /** The minimum delay of the event loop that is logged. */
     private static final long LOGGED_LOOP_DELAY_NS = 50 * MILLISECOND_NS;
@@ -166,6 +167,8 @@
         components.releasePlatformClient.subscribe();
         reloader.applyTo(components);
         transport.scheduleAtFixedRate(SECOND_NS, components::runMaintenance);
+        transport.scheduleAtFixedRate(
+                STALL_CHECK_INTERVAL_NS, components.clientConnections::closeStalled);
         lastLoopCheckNs = clock.nowNs();
         transport.scheduleAtFixedRate(LOOP_CHECK_INTERVAL_NS, this::checkLoopDelay);
         listenWhenListConfirmed(exitCode);
--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarProcessTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarProcessTest.java
@@ -272,10 +272,9 @@
                     .socket
                     .getOutputStream()
                     .write(queryMessage(selectSql("1", 800)), 0, 30);
-            for (Client stalled : List.of(withoutStartup, withPartialMessage)) {
-                stalled.socket.setSoTimeout(20_000);
-                assertEquals(-1, stalled.in.read());
-            }
+            assertEquals(-1, withoutStartup.in.read());
+            assertEquals("E08P01", withPartialMessage.readMessage());
+            assertEquals(-1, withPartialMessage.in.read());
             assertEquals("TDvC", idle.execute(selectSql("1", 800)));
         }
     }
