Connections release the buffer of a message once it is handled

Cause: PostgresMessageDecoder kept the buffer of its last message until the next byte came. An idle connection, to a client or a pod, that had carried a long value held 80 to 160 KiB that no limit counted. Once direct memory was used up, each allocation waited for half a second in the JDK.

Change: both kinds of connections release the buffer after each read that leaves nothing unread.

LongValuesTest#idleConnectionsHoldNoBuffers failed before (the connection was closed) and passes.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -112,6 +112,7 @@
         } catch (InvalidInputException e) {
             rejectMalformedInput(e.getMessage());
         }
+        decoder.releaseConsumedBytes();
         updatePartialMessageBytes(decoder.retainedCapacityBytes());
         boolean readsOn = !closing && canRead();
         updateIncompleteSince(readsOn, anyMessage);
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodConnection.java
@@ -259,6 +259,7 @@
                 closeAndResetTry();
             }
         }
+        decoder.releaseConsumedBytes();
     }
 
     /**
--- a/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
@@ -128,6 +128,16 @@
                 bodyIndex - LENGTH_FIELD_BYTES - 1, bodyLength + LENGTH_FIELD_BYTES + 1);
     }
 
+    /**
+     * Releases the buffer if all its bytes belong to messages that were handled. Called after each
+     * read, since the next bytes may never come.
+     */
+    void releaseConsumedBytes() {
+        if (!hasUnreadBytes()) {
+            release();
+        }
+    }
+
     /** Releases the buffer with all unread bytes. */
     void release() {
         if (buffer != null) {
