The memory of messages is reserved before they are read, and follows the limits told

Answers of pods in reception, and answers behind an earlier command, were counted nowhere. Above 12 MiB of requests nobody was read from, short requests included, and a whole request that waited so for 10 s was closed; above 8 MiB of half-sent messages and unread answers a client was closed with its requests in flight. Both limits were numbers of ours, whatever memory the process has.

A message's memory is reserved when its header is read and is released with its buffer (ReservedBuffer). Pods are not read from while an answer finds none; a client's message waits 0.08 s at most, is then read without being kept, and refused with 53300, which is harmless since nothing was forwarded. The wait is taken off the client's time. The pool has no caches of its own and chunks of 1 MiB, in which the longest messages leave few gaps. The count line shows pool_mb, req_mb, resp_mb, memory_waited, memory_shed.

partialMessagesDoNotAffectOtherClients expected a close without an error from a client with a message received in part; it gets 53300 or 08P01 first now. The test checks that error and then the close.

--- a/core/src/main/java/mulleinlever/ClientConnectionPolicy.java
+++ b/core/src/main/java/mulleinlever/ClientConnectionPolicy.java
@@ -35,6 +35,9 @@
      */
     private static final long EVICTABLE_IDLE_AGE_NS = 50 * MILLISECOND_NS;
 
+    /** The time after which a client that takes no response may be closed to free its memory. */
+    private static final long EVICTABLE_READER_AGE_NS = 1_000 * MILLISECOND_NS;
+
     private ClientConnectionPolicy() {}
 
     /** What a connection waits for. */
@@ -85,6 +88,26 @@
                 : longestIn(State.IDLE, nowNs - EVICTABLE_IDLE_AGE_NS, connections, activityOf);
     }
 
+    /**
+     * Selects the connection that gives up the memory of its incomplete message, where others wait
+     * for memory: the one that has waited longest for the rest, if long enough.
+     */
+    public static <C> Optional<C> selectForRequestMemory(
+            Collection<C> connections, Function<C, Activity> activityOf, long nowNs) {
+        return longestIn(
+                State.AWAITING_MESSAGE, nowNs - EVICTABLE_MESSAGE_AGE_NS, connections, activityOf);
+    }
+
+    /**
+     * Selects the connection that gives up the memory of its unread responses, where others wait
+     * for memory: the one whose client has taken none for longest, if long enough.
+     */
+    public static <C> Optional<C> selectForResponseMemory(
+            Collection<C> connections, Function<C, Activity> activityOf, long nowNs) {
+        return longestIn(
+                State.AWAITING_READER, nowNs - EVICTABLE_READER_AGE_NS, connections, activityOf);
+    }
+
     /** Returns the connection that has been in a state longest, if since before the given time. */
     private static <C> Optional<C> longestIn(
             State state,
--- /dev/null
+++ b/core/src/main/java/mulleinlever/MemoryLimits.java
@@ -0,0 +1,57 @@
+package mulleinlever;
+
+/**
+ * The limits on the memory of messages, by what the process may use.
+ *
+ * @param requestBytes the budget for messages of clients, in bytes
+ * @param responseBytes the budget for messages of pods and unread responses, in bytes
+ * @param maxAdmissionWaitNs how long a client's message waits for memory before it is shed
+ */
+public record MemoryLimits(long requestBytes, long responseBytes, long maxAdmissionWaitNs) {
+    /** The share of the process's memory that network buffers may take. */
+    private static final double NETWORK_SHARE = 0.2;
+
+    /** The share of the network buffers for messages of clients. */
+    private static final double REQUEST_SHARE = 0.33;
+
+    /**
+     * The share of the network buffers for messages of pods. The rest beside both is for
+     * connections without a message, discovery, the platform, and fragmentation.
+     */
+    private static final double RESPONSE_SHARE = 0.27;
+
+    /**
+     * The share of the latency objective that a message may wait. A req may wait as long in the
+     * queue of the {@link Policy}.
+     */
+    private static final double ADMISSION_WAIT_SHARE = 0.35;
+
+    /**
+     * The maximum wait, whatever the objective. A client that disconnects meanwhile is noticed only
+     * afterwards, and no try may begin later than 0.1 s after that.
+     */
+    private static final long MAX_ADMISSION_WAIT_NS = 80_000_000L;
+
+    /**
+     * Returns the limits of a process.
+     *
+     * @param maxDirectBytes the maximum memory outside the heap, in bytes
+     * @param maxProcessBytes the maximum memory of the process in bytes; 0 if it is not known
+     */
+    public static MemoryLimits of(long maxDirectBytes, long maxProcessBytes, Settings settings) {
+        double networkBytes =
+                maxProcessBytes > 0
+                        ? Math.min(maxDirectBytes, NETWORK_SHARE * maxProcessBytes)
+                        : maxDirectBytes;
+        // The route of a message is known only when it has been received.
+        long minObjectiveNs =
+                settings.routes().stream()
+                        .mapToLong(Settings.RouteSettings::latencyObjectiveNs)
+                        .min()
+                        .orElse(0);
+        return new MemoryLimits(
+                (long) (REQUEST_SHARE * networkBytes),
+                (long) (RESPONSE_SHARE * networkBytes),
+                Math.min(MAX_ADMISSION_WAIT_NS, (long) (ADMISSION_WAIT_SHARE * minObjectiveNs)));
+    }
+}
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -8,6 +8,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import mulleinlever.ClientConnectionPolicy;
 import mulleinlever.ClientConnectionPolicy.State;
 import mulleinlever.settings.InvalidInputException;
@@ -23,6 +25,12 @@
      */
     private static final int MAX_PIPELINED_COMMANDS = 32;
 
+    /**
+     * The memory that a message takes besides its text: unused capacity of the buffer it was read
+     * into, its tries, and its state in the policy.
+     */
+    private static final int MESSAGE_OVERHEAD_BYTES = 2048;
+
     /** The value of {@link #incompleteSinceNs} while the client owes no rest of a message. */
     private static final long NOT_INCOMPLETE = Long.MIN_VALUE;
 
@@ -34,7 +42,8 @@
 
     private final QueryHandler queryHandler;
     private final ClientConnections clientConnections;
-    private final ReqMemoryLimiter reqMemoryLimiter;
+    private final MessageMemory memory;
+    private final SidecarMetrics metrics;
     private final ReqRegistry reqRegistry;
     private final Clock clock;
     private final RateLimitedLog log;
@@ -56,8 +65,17 @@
      */
     private long incompleteSinceNs = NOT_INCOMPLETE;
 
-    /** The capacity of the buffer that holds received bytes not yet decoded into a command. */
-    private int partialMessageBytes;
+    /** The memory of the message that is being received. */
+    private final MessageReservation reservation;
+
+    /** The task that sheds a message that waits for memory; null if none does. */
+    private Future<?> shedTask;
+
+    /** When the message that is being received began to wait for memory. */
+    private long memoryWaitStartNs;
+
+    /** How long the current message waited for memory. */
+    private long memoryWaitNs;
 
     /** The size of the responses that were written but not yet taken by the network. */
     private int unsentResponseBytes;
@@ -65,13 +83,16 @@
     ClientConnection(
             QueryHandler queryHandler,
             ClientConnections clientConnections,
-            ReqMemoryLimiter reqMemoryLimiter,
+            MessageMemory memory,
+            SidecarMetrics metrics,
             ReqRegistry reqRegistry,
             Clock clock,
             RateLimitedLog log) {
         this.queryHandler = queryHandler;
         this.clientConnections = clientConnections;
-        this.reqMemoryLimiter = reqMemoryLimiter;
+        this.memory = memory;
+        this.metrics = metrics;
+        this.reservation = new MessageReservation(memory.requests(), this::scheduleDecode);
         this.reqRegistry = reqRegistry;
         this.clock = clock;
         this.log = log;
@@ -81,6 +102,8 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         decoder = new PostgresMessageDecoder(ctx.alloc());
+        channel.config()
+                .setRecvByteBufAllocator(new MessageReceiveBufferAllocator(decoder::nextReadBytes));
         lastProgressNs = clock.nowNs();
         incompleteSinceNs = lastProgressNs;
         clientConnections.connectionOpened(this);
@@ -101,50 +124,111 @@
     private void decode() {
         boolean anyMessage = false;
         try {
-            while (!closing && canRead() && decoder.nextMessage(startupComplete)) {
+            while (!closing && canRead() && nextMessage()) {
                 anyMessage = true;
                 if (startupComplete) {
                     handleMessage();
                 } else {
                     handleStartupMessage();
                 }
+                reservation.release();
+                memoryWaitNs = 0;
             }
         } catch (InvalidInputException e) {
             rejectMalformedInput(e.getMessage());
         }
         decoder.releaseConsumedBytes();
-        updatePartialMessageBytes(decoder.retainedCapacityBytes());
-        boolean readsOn = !closing && canRead();
+        boolean readsOn = !closing && canRead() && !reservation.isWaiting();
         updateIncompleteSince(readsOn, anyMessage);
         channel.config().setAutoRead(readsOn);
     }
 
-    private void updateIncompleteSince(boolean readsOn, boolean anyMessage) {
-        boolean incomplete = !startupComplete || decoder.hasUnreadBytes();
-        if (!readsOn || !incomplete) {
-            incompleteSinceNs = NOT_INCOMPLETE;
-        } else if (anyMessage && startupComplete || incompleteSinceNs == NOT_INCOMPLETE) {
-            incompleteSinceNs = clock.nowNs();
+    /**
+     * Advances to the next message. Returns false if it hasn't been received completely, or waits
+     * for memory.
+     *
+     * @throws InvalidInputException if it is none that a client may send
+     */
+    private boolean nextMessage() {
+        if (decoder.isDiscarding()) {
+            decoder.discardReceivedBytes();
+            if (decoder.isDiscarding()) {
+                return false;
+            }
+            respondShed();
         }
+        return !closing
+                && decoder.readHeader(startupComplete)
+                && reserveMemory()
+                && decoder.readMessage();
     }
 
-    private void updatePartialMessageBytes(int currentBytes) {
-        int addedBytes = currentBytes - partialMessageBytes;
-        partialMessageBytes = currentBytes;
-        clientConnections.addBufferedBytes(addedBytes);
+    /**
+     * Reserves memory for the next message, whose header has been read. Returns false if none is
+     * available; the message is shed if that lasts too long.
+     *
+     * @throws InvalidInputException if the message is none that a client may send
+     */
+    private boolean reserveMemory() {
+        if (startupComplete && decoder.messageType != 'Q' && decoder.messageType != 'X') {
+            throw new InvalidInputException("no such command");
+        }
+        int messageBytes = NettyTransport.pooledBytes(decoder.messageBytes());
+        if (reservation.reserve(messageBytes + MESSAGE_OVERHEAD_BYTES)) {
+            memoryWaitNs += shedTask == null ? 0 : clock.nowNs() - memoryWaitStartNs;
+            cancelShedTask();
+            return true;
+        }
+        if (shedTask == null) {
+            memoryWaitStartNs = clock.nowNs();
+            metrics.increment(SidecarMetrics.Event.MEMORY_WAITED);
+            shedTask =
+                    channel.eventLoop()
+                            .schedule(
+                                    this::shedWaitingMessage,
+                                    memory.maxAdmissionWaitNs(),
+                                    TimeUnit.NANOSECONDS);
+            clientConnections.freeMemory();
+        }
+        return false;
     }
 
-    /** Returns whether memory is held for a partial message or for unsent responses. */
-    boolean hasBufferedBytes() {
-        return partialMessageBytes + unsentResponseBytes > 0;
+    private void cancelShedTask() {
+        if (shedTask != null) {
+            shedTask.cancel(false);
+            shedTask = null;
+        }
     }
 
-    /**
-     * Returns when bytes were last received, or a response was last written or taken by the
-     * network.
-     */
-    long lastProgressNs() {
-        return lastProgressNs;
+    /** Sheds the message that waits for memory: discards it, and then responds to it. */
+    private void shedWaitingMessage() {
+        shedTask = null;
+        if (reservation.isWaiting() && !closing) {
+            reservation.release();
+            decoder.startDiscarding();
+            decode();
+        }
+    }
+
+    /** Responds to a message that was discarded for lack of memory and never forwarded. */
+    private void respondShed() {
+        metrics.increment(SidecarMetrics.Event.MEMORY_SHED);
+        if (!startupComplete) {
+            respondAndClose(PostgresMessages.TOO_MANY_CONNECTIONS, "shed: try again");
+            return;
+        }
+        respond(
+                PostgresMessages.errorResponse(
+                        PostgresMessages.TOO_MANY_CONNECTIONS, "shed: try again", 0, true));
+    }
+
+    private void updateIncompleteSince(boolean readsOn, boolean anyMessage) {
+        boolean incomplete = !startupComplete || decoder.isMidMessage();
+        if (!readsOn || !incomplete) {
+            incompleteSinceNs = NOT_INCOMPLETE;
+        } else if (anyMessage && startupComplete || incompleteSinceNs == NOT_INCOMPLETE) {
+            incompleteSinceNs = clock.nowNs();
+        }
     }
 
     /** Closes the connection without waiting for pending commands or unsent responses. */
@@ -153,15 +237,8 @@
         channel.close();
     }
 
-    /**
-     * Returns whether another message may be decoded. Where the memory limit forbids it, registers
-     * this connection to be resumed once memory has been released.
-     */
+    /** Returns whether another message may be decoded. */
     private boolean canRead() {
-        if (reqMemoryLimiter.isExceeded()) {
-            reqMemoryLimiter.addWaiter(this);
-            return false;
-        }
         return pendingCommands.size() < MAX_PIPELINED_COMMANDS && channel.isWritable();
     }
 
@@ -201,7 +278,11 @@
                                 != 0) {
                     throw new InvalidInputException("a query without its end");
                 }
-                queryHandler.handleQuery(this, decoder.retainBody());
+                queryHandler.handleQuery(
+                        this,
+                        new ReservedBuffer(channel.alloc(), memory.requests())
+                                .append(decoder.retainBody(), reservation.take()),
+                        memoryWaitNs);
             }
             case 'X' -> {
                 closing = true;
@@ -225,9 +306,17 @@
      */
     private void respondAndClose(String code, String reason) {
         closing = true;
+        abandonMessage();
         respond(PostgresMessages.errorResponse(code, reason, 0, false));
     }
 
+    /** Releases the memory of the message that is being received. */
+    private void abandonMessage() {
+        cancelShedTask();
+        reservation.release();
+        decoder.release();
+    }
+
     /** Queues the response to a command that is not a req behind those of earlier commands. */
     void respond(ByteBuf response) {
         PendingCommand command = new PendingCommand(this, null);
@@ -236,15 +325,9 @@
         flushResponses();
     }
 
-    /** Queues a req for its response and reserves the memory that it takes. */
+    /** Queues a req for its response. */
     void enqueue(PendingCommand command) {
         pendingCommands.add(command);
-        reqMemoryLimiter.reserve(command.memoryBytes());
-    }
-
-    /** Releases the memory that {@link #enqueue} reserved for the req. */
-    void releaseMemory(PendingCommand command) {
-        reqMemoryLimiter.release(command.memoryBytes());
     }
 
     /**
@@ -256,9 +339,12 @@
         while (!pendingCommands.isEmpty() && pendingCommands.peek().response != null) {
             ByteBuf response = pendingCommands.poll().response;
             int responseBytes = response.readableBytes();
+            // The memory of a pod's response is reserved with the buffer.
+            int reservedBytes = response instanceof ReservedBuffer ? 0 : responseBytes;
+            memory.responses().reserve(reservedBytes);
             unsentResponseBytes += responseBytes;
-            channel.write(response).addListener(future -> responseSent(responseBytes));
-            clientConnections.addBufferedBytes(responseBytes);
+            channel.write(response)
+                    .addListener(future -> responseSent(responseBytes, reservedBytes));
             responseWritten = true;
         }
         if (!responseWritten) {
@@ -267,17 +353,17 @@
         lastProgressNs = clock.nowNs();
         channel.flush();
         if (pendingCommands.isEmpty()
-                && (closing || clientConnections.isShuttingDown() && !decoder.hasUnreadBytes())) {
+                && (closing || clientConnections.isShuttingDown() && !decoder.isMidMessage())) {
             flushAndClose();
         } else if (!channel.config().isAutoRead()) {
             scheduleDecode();
         }
     }
 
-    private void responseSent(int responseBytes) {
+    private void responseSent(int responseBytes, int reservedBytes) {
         lastProgressNs = clock.nowNs();
         unsentResponseBytes -= responseBytes;
-        clientConnections.addBufferedBytes(-responseBytes);
+        memory.responses().release(reservedBytes);
     }
 
     /** Closes the connection after all written responses have been sent. */
@@ -291,24 +377,24 @@
      * bytes are left to decode.
      */
     void closeIfIdle() {
-        if (pendingCommands.isEmpty() && (closing || !decoder.hasUnreadBytes())) {
+        if (pendingCommands.isEmpty() && (closing || !decoder.isMidMessage())) {
             flushAndClose();
         }
     }
 
     /** Returns what this connection waits for, and since when. */
     ClientConnectionPolicy.Activity activity() {
+        if (!closing && incompleteSinceNs != NOT_INCOMPLETE) {
+            return new ClientConnectionPolicy.Activity(State.AWAITING_MESSAGE, incompleteSinceNs);
+        }
         if (!pendingCommands.isEmpty()) {
             return new ClientConnectionPolicy.Activity(State.BUSY, lastProgressNs);
         }
         if (closing || unsentResponseBytes > 0) {
             return new ClientConnectionPolicy.Activity(State.AWAITING_READER, lastProgressNs);
         }
-        if (incompleteSinceNs != NOT_INCOMPLETE) {
-            return new ClientConnectionPolicy.Activity(State.AWAITING_MESSAGE, incompleteSinceNs);
-        }
         return new ClientConnectionPolicy.Activity(
-                decoder.hasUnreadBytes() ? State.BUSY : State.IDLE, lastProgressNs);
+                decoder.isMidMessage() ? State.BUSY : State.IDLE, lastProgressNs);
     }
 
     /**
@@ -346,9 +432,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
         clientConnections.connectionClosed(this);
-        reqMemoryLimiter.removeWaiter(this);
-        updatePartialMessageBytes(0);
-        decoder.release();
+        abandonMessage();
         for (PendingCommand command : pendingCommands) {
             if (command.response != null) {
                 command.response.release();
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -2,8 +2,8 @@
 
 import io.netty.channel.Channel;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
 import mulleinlever.ClientConnectionPolicy;
@@ -14,9 +14,6 @@
  * event loop only.
  */
 final class ClientConnections {
-    /** The maximum size of partial messages and unsent responses over all connections. */
-    private static final long MAX_BUFFERED_BYTES = 8L << 20;
-
     /** How long accepting stays paused before another connection is looked for to close. */
     private static final long ACCEPT_RETRY_DELAY_NS = 10_000_000L;
 
@@ -25,9 +22,9 @@
     private final NettyTransport transport;
     private final Clock clock;
     private final SidecarMetrics metrics;
+    private final MessageMemory memory;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
-    private long bufferedBytes;
 
     /** The task that looks again for a connection to close; null if none is scheduled. */
     private Future<?> acceptRetryTask;
@@ -43,12 +40,14 @@
             Lifecycle lifecycle,
             NettyTransport transport,
             Clock clock,
-            SidecarMetrics metrics) {
+            SidecarMetrics metrics,
+            MessageMemory memory) {
         this.maxConnections = maxConnections;
         this.lifecycle = lifecycle;
         this.transport = transport;
         this.clock = clock;
         this.metrics = metrics;
+        this.memory = memory;
     }
 
     /** Sets the listening channel; called before the first connection is accepted. */
@@ -110,23 +109,7 @@
         }
     }
 
-    /**
-     * Adds to the size of partial messages and unsent responses; negative numbers reduce it. A
-     * client that leaves a message incomplete or reads no responses could hold memory forever.
-     * Above the maximum, the connection that holds memory and has made no progress for longest is
-     * closed; all others continue to be served.
-     */
-    void addBufferedBytes(int addedBytes) {
-        bufferedBytes += addedBytes;
-        if (addedBytes > 0 && bufferedBytes > MAX_BUFFERED_BYTES) {
-            connections.stream()
-                    .filter(ClientConnection::hasBufferedBytes)
-                    .min(Comparator.comparingLong(ClientConnection::lastProgressNs))
-                    .ifPresent(ClientConnection::closeNow);
-        }
-    }
-
-    /** Closes the connections whose clients keep the sidecar waiting for too long. */
+    /** Closes the connections whose clients keep the sidecar or others waiting for too long. */
     void closeStalled() {
         long nowNs = clock.nowNs();
         for (ClientConnection connection : new ArrayList<>(connections)) {
@@ -135,6 +118,33 @@
                 connection.closeStalled();
             }
         }
+        freeMemory();
+    }
+
+    /**
+     * Closes connections whose clients hold memory and make no progress, while others wait for
+     * memory.
+     */
+    void freeMemory() {
+        while (memory.requests().isShort()) {
+            Optional<ClientConnection> selected =
+                    ClientConnectionPolicy.selectForRequestMemory(
+                            connections, ClientConnection::activity, clock.nowNs());
+            if (selected.isEmpty()) {
+                break;
+            }
+            metrics.increment(SidecarMetrics.Event.EVICTED);
+            selected.get().evict();
+        }
+        if (memory.responses().isShort()) {
+            ClientConnectionPolicy.selectForResponseMemory(
+                            connections, ClientConnection::activity, clock.nowNs())
+                    .ifPresent(
+                            selected -> {
+                                metrics.increment(SidecarMetrics.Event.EVICTED);
+                                selected.closeNow();
+                            });
+        }
     }
 
     /** Stops accepting and closes idle connections; the others close after their last response. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/NettyTransport.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/NettyTransport.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -18,6 +17,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.PlatformDependent;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -33,21 +33,18 @@
     private static final int PAGE_SIZE_BYTES = 8192;
 
     /**
-     * Chunks of 256 KiB (the page size shifted by this): in a process this small the usual 4 MiB
-     * would mostly be wasted.
+     * Chunks of 1 MiB (the page size shifted by this): of the usual 4 MiB a process this small
+     * would waste most, and in much smaller ones the longest messages leave gaps.
      */
-    private static final int CHUNK_ORDER = 5;
-
-    private final ByteBufAllocator allocator =
-            new PooledByteBufAllocator(
-                    true,
-                    0,
-                    1,
-                    PAGE_SIZE_BYTES,
-                    CHUNK_ORDER,
-                    PooledByteBufAllocator.defaultSmallCacheSize(),
-                    PooledByteBufAllocator.defaultNormalCacheSize(),
-                    false);
+    private static final int CHUNK_ORDER = 7;
+
+    /** The number of sizes between two powers of two in which the pool allocates. */
+    private static final int SIZES_PER_DOUBLING = 4;
+
+    /** Without caches of released buffers, which no limit on memory would count. */
+    private final PooledByteBufAllocator allocator =
+            new PooledByteBufAllocator(true, 0, 1, PAGE_SIZE_BYTES, CHUNK_ORDER, 0, 0, false);
+
     private final EventLoopGroup group;
     final EventLoop eventLoop;
     private final RateLimitedLog log;
@@ -176,6 +173,22 @@
         };
     }
 
+    /** Returns the size that a buffer of this capacity takes in the pool, in bytes. */
+    static int pooledBytes(int capacityBytes) {
+        int stepBytes = Math.max(1, Integer.highestOneBit(capacityBytes - 1) / SIZES_PER_DOUBLING);
+        return (capacityBytes + stepBytes - 1) / stepBytes * stepBytes;
+    }
+
+    /** Returns the maximum memory outside the heap that the JVM's flags allow, in bytes. */
+    static long maxDirectBytes() {
+        return PlatformDependent.estimateMaxDirectMemory();
+    }
+
+    /** Returns the size of the pool of buffers, used or not, in bytes. */
+    long poolBytes() {
+        return allocator.metric().usedDirectMemory();
+    }
+
     /** Returns an allocator of receive buffers of 512 bytes to 32 KiB; the first is 1 KiB. */
     private static AdaptiveRecvByteBufAllocator newReceiveBufferAllocator() {
         return new AdaptiveRecvByteBufAllocator(512, 1024, 32_768);
--- a/sidecar/src/main/java/mulleinlever/sidecar/PendingCommand.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PendingCommand.java
@@ -9,12 +9,6 @@
  * connection. Used by the event loop only.
  */
 final class PendingCommand {
-    /**
-     * The estimated memory that a req takes besides its text: unused capacity of the buffer it was
-     * read into, its tries, and its state in the policy.
-     */
-    private static final int REQ_OVERHEAD_BYTES = 2048;
-
     final ClientConnection client;
 
     /** The req's statement; null for a command that is not a req. */
@@ -47,9 +41,4 @@
     boolean hasTriesInFlight() {
         return tries.stream().anyMatch(t -> !t.hasEnded());
     }
-
-    /** Returns the estimated memory that the req takes; not to be called for other commands. */
-    int memoryBytes() {
-        return statement.text.readableBytes() + REQ_OVERHEAD_BYTES;
-    }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodConnection.java
@@ -24,6 +24,9 @@
      */
     private static final long REUSE_COOLDOWN_NS = 3_000_000L;
 
+    /** The maximum size of a message for which no memory is reserved. */
+    private static final int MAX_UNRESERVED_BYTES = 1024;
+
     final String podId;
     final InetSocketAddress address;
 
@@ -58,7 +61,10 @@
     private boolean closed;
 
     /** The part of the response to the current try that was received so far. */
-    final PodResponseHandler.PartialResponse response = new PodResponseHandler.PartialResponse();
+    final PodResponseHandler.PartialResponse response;
+
+    /** The memory of the message that is being received. */
+    private final MessageReservation reservation;
 
     /** The time at which the connection last became idle; the cooldown counts from here. */
     long idleSinceNs;
@@ -69,6 +75,7 @@
             PodConnectionPool connectionPool,
             PodResponseHandler responseHandler,
             TryDispatcher tryDispatcher,
+            MessageMemoryLimiter responseMemory,
             Clock clock,
             RateLimitedLog log) {
         this.podId = podId;
@@ -79,6 +86,8 @@
         this.clock = clock;
         this.log = log;
         this.connectStartNs = clock.nowNs();
+        this.response = new PodResponseHandler.PartialResponse(responseMemory);
+        this.reservation = new MessageReservation(responseMemory, this::scheduleDecode);
     }
 
     /** Returns the channel; null if no socket could be created. */
@@ -186,6 +195,7 @@
                 connectTimeoutTask.cancel(false);
             }
             response.clear();
+            reservation.release();
             connectionPool.connectionClosed(this);
             if (channel != null) {
                 channel.close();
@@ -225,6 +235,8 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         decoder = new PostgresMessageDecoder(ctx.alloc());
+        channel.config()
+                .setRecvByteBufAllocator(new MessageReceiveBufferAllocator(decoder::nextReadBytes));
         ctx.writeAndFlush(PostgresMessages.startupMessage());
     }
 
@@ -235,8 +247,13 @@
             return;
         }
         decoder.addBytes((ByteBuf) msg);
+        decode();
+    }
+
+    /** Decodes and handles messages; reading pauses while one waits for memory. */
+    private void decode() {
         try {
-            while (!closed && decoder.nextMessage(true)) {
+            while (!closed && nextMessage()) {
                 if (!handshakeComplete) {
                     handleStartupMessage();
                 } else if (decoder.messageType == 'Z' && !podReady) {
@@ -248,6 +265,7 @@
                     // by the pod that it is about to close the connection.
                     closeAndMoveTry();
                 }
+                reservation.release();
             }
             if (podReady && decoder.hasUnreadBytes()) {
                 closeAndMoveTry();
@@ -260,6 +278,36 @@
             }
         }
         decoder.releaseConsumedBytes();
+        if (!closed) {
+            channel.config().setAutoRead(!reservation.isWaiting());
+        }
+    }
+
+    /**
+     * Advances to the next message. Returns false if it hasn't been received completely, or waits
+     * for memory; its try ends at its deadline nevertheless.
+     */
+    private boolean nextMessage() {
+        return decoder.readHeader(true)
+                && (decoder.messageBytes() <= MAX_UNRESERVED_BYTES
+                        || reservation.reserve(NettyTransport.pooledBytes(decoder.messageBytes())))
+                && decoder.readMessage();
+    }
+
+    /** Resumes decoding in a later turn of the event loop. */
+    private void scheduleDecode() {
+        channel.eventLoop()
+                .execute(
+                        () -> {
+                            if (!closed) {
+                                decode();
+                            }
+                        });
+    }
+
+    /** Returns the memory reserved for the current message, which passes to the caller. */
+    int takeReservation() {
+        return reservation.take();
     }
 
     /**
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodConnectionPool.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodConnectionPool.java
@@ -44,6 +44,7 @@
     private final Clock clock;
     private final RateLimitedLog log;
     private final PodResponseHandler responseHandler;
+    private final MessageMemoryLimiter responseMemory;
     private final int maxConnections;
     private final AdaptiveConnectTimeout connectTimeout;
     private final long idleTimeoutNs;
@@ -56,6 +57,7 @@
             Clock clock,
             RateLimitedLog log,
             PodResponseHandler responseHandler,
+            MessageMemoryLimiter responseMemory,
             int maxConnections,
             Settings.PolicyLimits limits,
             SidecarMetrics metrics) {
@@ -64,6 +66,7 @@
         this.clock = clock;
         this.log = log;
         this.responseHandler = responseHandler;
+        this.responseMemory = responseMemory;
         this.maxConnections = maxConnections;
         this.connectTimeout =
                 new AdaptiveConnectTimeout(
@@ -239,6 +242,7 @@
                         this,
                         responseHandler,
                         tryDispatcher,
+                        responseMemory,
                         clock,
                         log);
         upstreamTry.connection = connection;
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodResponseHandler.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodResponseHandler.java
@@ -1,7 +1,6 @@
 package mulleinlever.sidecar;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import java.nio.charset.StandardCharsets;
 import mulleinlever.TryOutcome;
 import mulleinlever.settings.InvalidInputException;
@@ -20,15 +19,26 @@
 
     /** The part of a response received so far. */
     static final class PartialResponse {
-        private CompositeByteBuf parts;
+        /** The unused capacity of the buffers into which a response's short messages are read. */
+        private static final int OVERHEAD_BYTES = 2048;
+
+        private final MessageMemoryLimiter responseMemory;
+        private ReservedBuffer parts;
         private boolean hasRowDescription;
         private int rowCount;
 
-        private void add(ByteBuf part) {
+        PartialResponse(MessageMemoryLimiter responseMemory) {
+            this.responseMemory = responseMemory;
+        }
+
+        /** Appends a message, for which the given memory was reserved. */
+        private void add(ByteBuf part, int reservedBytes) {
             if (parts == null) {
-                parts = part.alloc().compositeBuffer(8);
+                parts = new ReservedBuffer(part.alloc(), responseMemory);
+                responseMemory.reserve(OVERHEAD_BYTES);
+                parts.addReservation(OVERHEAD_BYTES);
             }
-            parts.addComponent(true, part);
+            parts.append(part, reservedBytes);
         }
 
         /** Releases the part received so far. */
@@ -43,7 +53,7 @@
 
         /** Returns the response with ReadyForQuery added; the caller releases it. */
         private ByteBuf takeResponse() {
-            ByteBuf response = parts.addComponent(true, PostgresMessages.readyForQuery());
+            ByteBuf response = parts.append(PostgresMessages.readyForQuery(), 0);
             parts = null;
             clear();
             return response;
@@ -62,19 +72,19 @@
         switch (decoder.messageType) {
             case 'T' -> {
                 response.hasRowDescription = true;
-                response.add(decoder.retainMessage());
+                response.add(decoder.retainMessage(), connection.takeReservation());
             }
             case 'D' -> {
                 if (!response.hasRowDescription || ++response.rowCount > 1) {
                     throw new InvalidInputException(
                             "DataRow without RowDescription, or a second DataRow");
                 }
-                response.add(decoder.retainMessage());
+                response.add(decoder.retainMessage(), connection.takeReservation());
             }
             case 'C' -> {
                 connection.detachTry();
                 if (response.rowCount == 1) {
-                    response.add(decoder.retainMessage());
+                    response.add(decoder.retainMessage(), connection.takeReservation());
                     reqRegistry.onTryEnded(upstreamTry, TryOutcome.OK, response.takeResponse());
                 } else {
                     // The req ran but returned no row, so there is nothing to forward.
--- a/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
@@ -20,6 +20,12 @@
     /** The size of the length field, which counts itself but not the type. */
     private static final int LENGTH_FIELD_BYTES = 4;
 
+    /** The size of the buffer for the start of a message. */
+    private static final int MIN_READ_BYTES = 1024;
+
+    /** The maximum size of the buffer for the rest of a message. */
+    private static final int MAX_READ_BYTES = 32 * 1024;
+
     private final ByteBufAllocator allocator;
 
     /** The received bytes; null if there are none. */
@@ -28,7 +34,16 @@
     /** The size of the message whose start has been received, type included; 0 if not known. */
     private int currentMessageBytes;
 
-    /** The type of the current message; 0 for a startup message. */
+    /** The size of the type and the length field of that message. */
+    private int headerBytes;
+
+    /** The number of bytes that are still to be discarded. */
+    private int discardBytes;
+
+    /**
+     * The type of the current message, or of the next one once its header has been read; 0 for a
+     * startup message.
+     */
     char messageType;
 
     /** The index in {@link #buffer()} at which the body of the current message starts. */
@@ -70,8 +85,19 @@
      * @throws InvalidInputException if the length field is out of range
      */
     boolean nextMessage(boolean hasType) {
+        return readHeader(hasType) && readMessage();
+    }
+
+    /**
+     * Reads the type and the size of the next message, without advancing to it. Returns false if
+     * they haven't been received.
+     *
+     * @param hasType whether the message starts with a type, which a startup message doesn't
+     * @throws InvalidInputException if the length field is out of range
+     */
+    boolean readHeader(boolean hasType) {
         int typeBytes = hasType ? 1 : 0;
-        if (buffer == null || buffer.readableBytes() < typeBytes + LENGTH_FIELD_BYTES) {
+        if (unreadBytes() < typeBytes + LENGTH_FIELD_BYTES) {
             return false;
         }
         int start = buffer.readerIndex();
@@ -79,29 +105,66 @@
         if (lengthBytes < LENGTH_FIELD_BYTES || lengthBytes > MAX_MESSAGE_BYTES) {
             throw new InvalidInputException("a message of " + lengthBytes + " bytes");
         }
+        headerBytes = typeBytes + LENGTH_FIELD_BYTES;
         currentMessageBytes = typeBytes + lengthBytes;
-        if (buffer.readableBytes() < currentMessageBytes) {
+        messageType = hasType ? (char) buffer.getUnsignedByte(start) : 0;
+        return true;
+    }
+
+    /** Returns the size of the next message, whose header has been read. */
+    int messageBytes() {
+        return currentMessageBytes;
+    }
+
+    /**
+     * Advances to the next message, whose header has been read. Returns false if it hasn't been
+     * received completely.
+     */
+    boolean readMessage() {
+        if (unreadBytes() < currentMessageBytes) {
             return false;
         }
-        messageType = hasType ? (char) buffer.getUnsignedByte(start) : 0;
-        bodyIndex = start + typeBytes + LENGTH_FIELD_BYTES;
-        bodyLength = lengthBytes - LENGTH_FIELD_BYTES;
+        bodyIndex = buffer.readerIndex() + headerBytes;
+        bodyLength = currentMessageBytes - headerBytes;
         buffer.skipBytes(currentMessageBytes);
         currentMessageBytes = 0;
         return true;
     }
 
+    /** Begins to discard the next message, whose header has been read. */
+    void startDiscarding() {
+        discardBytes = currentMessageBytes;
+        currentMessageBytes = 0;
+    }
+
+    /** Returns whether a part of the message to discard hasn't been received. */
+    boolean isDiscarding() {
+        return discardBytes > 0;
+    }
+
+    /** Discards what has been received of the message to discard. */
+    void discardReceivedBytes() {
+        int discardableBytes = Math.min(unreadBytes(), discardBytes);
+        if (discardableBytes > 0) {
+            buffer.skipBytes(discardableBytes);
+            discardBytes -= discardableBytes;
+        }
+    }
+
+    /** Returns the size of the buffer for the next read, in bytes. */
+    int nextReadBytes() {
+        int missingBytes = Math.max(discardBytes, currentMessageBytes - unreadBytes());
+        return Math.max(MIN_READ_BYTES, Math.min(MAX_READ_BYTES, missingBytes));
+    }
+
     /** Returns whether bytes were received beyond the current message. */
     boolean hasUnreadBytes() {
         return unreadBytes() > 0;
     }
 
-    /**
-     * Returns the capacity of the buffer that holds the unread bytes, or 0 if there are none. The
-     * capacity may be larger than the number of the bytes received.
-     */
-    int retainedCapacityBytes() {
-        return hasUnreadBytes() ? buffer.capacity() : 0;
+    /** Returns whether a part of a message was received, or of one that is being discarded. */
+    boolean isMidMessage() {
+        return hasUnreadBytes() || isDiscarding();
     }
 
     /** Returns the number of bytes received beyond the current message. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
@@ -32,8 +32,9 @@
      * forwarded, since no pod would understand it.
      *
      * @param query the query's text with its terminating zero byte; ownership passes to this method
+     * @param waitedNs how much of the client's time has passed while the query waited to be read
      */
-    void handleQuery(ClientConnection client, ByteBuf query) {
+    void handleQuery(ClientConnection client, ByteBuf query, long waitedNs) {
         if (isBlank(query)) {
             query.release();
             client.respond(PostgresMessages.emptyQueryResponse());
@@ -55,10 +56,11 @@
             return;
         }
         command.latencyObjectiveNs = routeSettings.latencyObjectiveNs();
-        long clientTimeoutNs =
+        long fullTimeoutNs =
                 statement.clientTimeoutMs < 0
                         ? routeSettings.timeoutNs()
                         : statement.clientTimeoutMs * 1_000_000L;
+        long clientTimeoutNs = Math.max(0, fullTimeoutNs - waitedNs);
         command.clientTimeoutNs = clientTimeoutNs;
         client.enqueue(command);
         policyActions.submitReq(
--- a/sidecar/src/main/java/mulleinlever/sidecar/ReqRegistry.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ReqRegistry.java
@@ -118,7 +118,6 @@
         if (command.outcomeDecided
                 && !command.hasTriesInFlight()
                 && commandsById.remove(command.statement.id, command)) {
-            command.client.releaseMemory(command);
             command.statement.text.release();
         }
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -1,6 +1,7 @@
 package mulleinlever.sidecar;
 
 import io.netty.channel.ChannelHandler;
+import mulleinlever.MemoryLimits;
 import mulleinlever.Policy;
 import mulleinlever.Settings;
 
@@ -21,7 +22,8 @@
     final ReleasePlatformClient releasePlatformClient;
     final Policy policy;
     private final PodConnectionPool connectionPool;
-    private final ReqMemoryLimiter reqMemoryLimiter = new ReqMemoryLimiter();
+    private final MessageMemory memory;
+    private final NettyTransport transport;
     private final QueryHandler queryHandler;
     private final SidecarMetrics metrics;
     private final Clock clock;
@@ -37,14 +39,22 @@
         this.clock = clock;
         this.log = log;
         Settings settings = config.settings();
+        this.transport = transport;
         metrics = new SidecarMetrics(clock, log);
+        memory =
+                MessageMemory.of(
+                        MemoryLimits.of(
+                                NettyTransport.maxDirectBytes(),
+                                config.maxMemoryBytes(),
+                                settings));
         clientConnections =
                 new ClientConnections(
                         (int) (CLIENT_SOCKET_SHARE * config.maxSockets()),
                         lifecycle,
                         transport,
                         clock,
-                        metrics);
+                        metrics,
+                        memory);
         reqRegistry = new ReqRegistry(clock, metrics);
         connectionPool =
                 new PodConnectionPool(
@@ -52,6 +62,7 @@
                         clock,
                         log,
                         new PodResponseHandler(reqRegistry),
+                        memory.responses(),
                         (int) (POD_SOCKET_SHARE * config.maxSockets()),
                         settings.policyLimits(),
                         metrics);
@@ -81,7 +92,7 @@
     /** Returns the handler for a new client connection. */
     ChannelHandler newClientHandler() {
         return new ClientConnection(
-                queryHandler, clientConnections, reqMemoryLimiter, reqRegistry, clock, log);
+                queryHandler, clientConnections, memory, metrics, reqRegistry, clock, log);
     }
 
     /** Returns the address at which a pod listens, as host and port; null if it is unknown. */
@@ -110,6 +121,10 @@
                 policy.stats(clock.nowNs()),
                 clientConnections.connectionCount(),
                 connectionPool.connectionCount(),
-                discoveryClient.listAgeNs());
+                discoveryClient.listAgeNs(),
+                new SidecarMetrics.BufferMemory(
+                        transport.poolBytes(),
+                        memory.requests().reservedBytes(),
+                        memory.responses().reservedBytes()));
     }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarConfig.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarConfig.java
@@ -21,6 +21,7 @@
  * @param seed the seed of the random numbers
  * @param maxSockets the maximum number of descriptors for clients, pods, files, the platform and
  *     discovery
+ * @param maxMemoryBytes the maximum memory of the process; 0 if the file has none
  * @param initialPodList the list in use until discovery sends one
  * @param initialRolloutStatus the status in use until the platform sends one
  */
@@ -31,6 +32,7 @@
         InetSocketAddress releaseApiAddress,
         long seed,
         int maxSockets,
+        long maxMemoryBytes,
         PodList initialPodList,
         RolloutStatus initialRolloutStatus,
         Settings settings) {
@@ -38,6 +40,7 @@
     private static final int DEFAULT_MAX_SOCKETS = 1024;
 
     private static final int MIN_SOCKETS = 64;
+    private static final double BYTES_PER_MB = 1 << 20;
 
     /** The settings that apply at the start only, by key, in the order of the keys in the file. */
     static final Map<String, Function<SidecarConfig, Object>> RESTART_REQUIRED =
@@ -49,6 +52,7 @@
         getters.put("listen", SidecarConfig::listenAddress);
         getters.put("seed", SidecarConfig::seed);
         getters.put("limits.sockets", SidecarConfig::maxSockets);
+        getters.put("limits.memory_mb", SidecarConfig::maxMemoryBytes);
         getters.put("settings", SidecarConfig::settings);
         return getters;
     }
@@ -62,6 +66,7 @@
                 releaseApiAddress,
                 seed,
                 maxSockets,
+                maxMemoryBytes,
                 podList,
                 rolloutStatus,
                 settings);
@@ -107,6 +112,7 @@
                 readAddress(reader, "release_api.address", null),
                 readSeed(reader),
                 (int) Math.min(1 << 20, maxSockets),
+                (long) (Math.max(0, reader.getDouble("limits.memory_mb", 0)) * BYTES_PER_MB),
                 reader.hasField("known")
                         ? PodList.fromJson(reader.getObject("known"))
                         : PodList.EMPTY,
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
@@ -48,12 +48,27 @@
         /** A client connection was closed in favor of a new one. */
         EVICTED,
         /** A client connection was closed because its client kept the sidecar waiting. */
-        STALLED
+        STALLED,
+        /** A message of a client waited for memory. */
+        MEMORY_WAITED,
+        /** A message of a client was shed for lack of memory. */
+        MEMORY_SHED
     }
 
+    /**
+     * The memory of network buffers.
+     *
+     * @param poolBytes the size of the pool of buffers, in bytes
+     * @param requestBytes the memory reserved for messages of clients, in bytes
+     * @param responseBytes the memory reserved for messages of pods, in bytes
+     */
+    record BufferMemory(long poolBytes, long requestBytes, long responseBytes) {}
+
     /** The maximum number of shed, errored or overdue reqs that are logged with their tries. */
     private static final int MAX_LOGGED_REQS_PER_SECOND = 3;
 
+    private static final double BYTES_PER_MB = 1 << 20;
+
     private final Clock clock;
     private final RateLimitedLog log;
     private final int[] eventCounts = new int[Event.values().length];
@@ -128,7 +143,11 @@
      * second.
      */
     void logAndReset(
-            Policy.Stats stats, int clientConnectionCount, int podConnectionCount, long listAgeNs) {
+            Policy.Stats stats,
+            int clientConnectionCount,
+            int podConnectionCount,
+            long listAgeNs,
+            BufferMemory memory) {
         StringBuilder line = new StringBuilder();
         for (Event event : Event.values()) {
             appendIfPositive(line, lowerCaseName(event), eventCounts[event.ordinal()]);
@@ -147,7 +166,8 @@
                                     String.format(
                                             Locale.ROOT,
                                             "clients=%d links=%d room=%.1f open=%d first=%d "
-                                                    + "further=%d ease=%.2f ready=%d usable=%d fit=%d cold=%d dark=%d list_age=%.1f",
+                                                    + "further=%d ease=%.2f ready=%d usable=%d fit=%d cold=%d dark=%d list_age=%.1f "
+                                                    + "pool_mb=%.1f req_mb=%.1f resp_mb=%.1f",
                                             clientConnectionCount,
                                             podConnectionCount,
                                             stats.tryLimit(),
@@ -160,7 +180,10 @@
                                             stats.healthyPodCount(),
                                             stats.slowStartPodCount(),
                                             stats.unreachablePodCount(),
-                                            listAgeNs / 1e9))
+                                            listAgeNs / 1e9,
+                                            memory.poolBytes() / BYTES_PER_MB,
+                                            memory.requestBytes() / BYTES_PER_MB,
+                                            memory.responseBytes() / BYTES_PER_MB))
                             .toString());
         }
     }
--- a/sidecar/src/test/java/mulleinlever/sidecar/DecodersTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/DecodersTest.java
@@ -1,7 +1,9 @@
 package mulleinlever.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -127,6 +129,27 @@
                         + "1".equals(fields.get("r"));
     }
 
+    @Test
+    void discardedMessageIsNotBufferedAndTheNextOneIsRead() {
+        PostgresMessageDecoder decoder = new PostgresMessageDecoder(ByteBufAllocator.DEFAULT);
+        ByteBuf start = Unpooled.buffer().writeByte('Q').writeInt(4 + 100).writeZero(10);
+        decoder.addBytes(start);
+        assertTrue(decoder.readHeader(true));
+        assertEquals(105, decoder.messageBytes());
+        assertFalse(decoder.readMessage());
+        decoder.startDiscarding();
+        decoder.discardReceivedBytes();
+        decoder.releaseConsumedBytes();
+        assertEquals(0, start.refCnt());
+        assertTrue(decoder.isDiscarding());
+        decoder.addBytes(Unpooled.buffer().writeZero(90).writeByte('X').writeInt(4));
+        decoder.discardReceivedBytes();
+        assertFalse(decoder.isDiscarding());
+        assertTrue(decoder.nextMessage(true));
+        assertEquals('X', decoder.messageType);
+        decoder.releaseConsumedBytes();
+    }
+
     @Test
     void statementParserMatchesReferenceParser() {
         SplittableRandom random = new SplittableRandom(2);
--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarProcessTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarProcessTest.java
@@ -252,6 +252,7 @@
                     assertEquals("TDvC", client.execute(selectSql("1", 800)));
                 }
             }
+            assertTrue(partialClients.get(0).readMessage().matches("E53300|E08P01"));
             assertTrue(partialClients.get(0).isClosedByPeer());
             assertEquals("TDvC", client.execute(selectSql("1", 800)));
         }
--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
@@ -148,6 +148,9 @@
      */
     int descriptorLimit;
 
+    /** JVM flags of the sidecar's process that replace the usual ones of the same name. */
+    final List<String> extraJvmFlags = new ArrayList<>();
+
     /**
      * Command-line arguments after {@code serve}; if there are any, the class path includes the
      * jars of optional features.
@@ -407,6 +410,7 @@
                                                 : System.getProperty("java.class.path"))));
         String flags = System.getProperty("sidecar.flags", "-Xmx40m -XX:MaxDirectMemorySize=40m");
         command.addAll(List.of(flags.split(" ")));
+        command.addAll(extraJvmFlags);
         command.addAll(
                 List.of(System.getProperty("sidecar.main", ServeMain.class.getName()), "serve"));
         command.addAll(extraArguments);
