RequestAdmission takes the wait for memory out of ClientConnection; larger share for requests

The need: ClientConnection had grown to 460 lines with two jobs. RequestAdmission reserves, bounds the wait and measures it; ClientConnection decodes and answers. No change of behaviour but for the shares of the budget: requests 45% (was 33%), answers 25% (was 27%).

Tests are unchanged and pass.

--- a/core/src/main/java/mulleinlever/MemoryLimits.java
+++ b/core/src/main/java/mulleinlever/MemoryLimits.java
@@ -12,13 +12,13 @@
     private static final double NETWORK_SHARE = 0.2;
 
     /** The share of the network buffers for messages of clients. */
-    private static final double REQUEST_SHARE = 0.33;
+    private static final double REQUEST_SHARE = 0.45;
 
     /**
      * The share of the network buffers for messages of pods. The rest beside both is for
      * connections without a message, discovery, the platform, and fragmentation.
      */
-    private static final double RESPONSE_SHARE = 0.27;
+    private static final double RESPONSE_SHARE = 0.25;
 
     /**
      * The share of the latency objective that a message may wait. A req may wait as long in the
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -8,8 +8,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import mulleinlever.ClientConnectionPolicy;
 import mulleinlever.ClientConnectionPolicy.State;
 import mulleinlever.settings.InvalidInputException;
@@ -25,12 +23,6 @@
      */
     private static final int MAX_PIPELINED_COMMANDS = 32;
 
-    /**
-     * The memory that a message takes besides its text: unused capacity of the buffer it was read
-     * into, its tries, and its state in the policy.
-     */
-    private static final int MESSAGE_OVERHEAD_BYTES = 2048;
-
     /** The value of {@link #incompleteSinceNs} while the client owes no rest of a message. */
     private static final long NOT_INCOMPLETE = Long.MIN_VALUE;
 
@@ -53,6 +45,7 @@
 
     private Channel channel;
     private PostgresMessageDecoder decoder;
+    private RequestAdmission admission;
     private boolean startupComplete;
     private boolean closing;
 
@@ -65,18 +58,6 @@
      */
     private long incompleteSinceNs = NOT_INCOMPLETE;
 
-    /** The memory of the message that is being received. */
-    private final MessageReservation reservation;
-
-    /** The task that sheds a message that waits for memory; null if none does. */
-    private Future<?> shedTask;
-
-    /** When the message that is being received began to wait for memory. */
-    private long memoryWaitStartNs;
-
-    /** How long the current message waited for memory. */
-    private long memoryWaitNs;
-
     /** The size of the responses that were written but not yet taken by the network. */
     private int unsentResponseBytes;
 
@@ -92,7 +73,6 @@
         this.clientConnections = clientConnections;
         this.memory = memory;
         this.metrics = metrics;
-        this.reservation = new MessageReservation(memory.requests(), this::scheduleDecode);
         this.reqRegistry = reqRegistry;
         this.clock = clock;
         this.log = log;
@@ -104,6 +84,13 @@
         decoder = new PostgresMessageDecoder(ctx.alloc());
         channel.config()
                 .setRecvByteBufAllocator(new MessageReceiveBufferAllocator(decoder::nextReadBytes));
+        admission =
+                new RequestAdmission(
+                        memory,
+                        channel.eventLoop(),
+                        clock,
+                        this::scheduleDecode,
+                        this::shedMessage);
         lastProgressNs = clock.nowNs();
         incompleteSinceNs = lastProgressNs;
         clientConnections.connectionOpened(this);
@@ -131,14 +118,13 @@
                 } else {
                     handleStartupMessage();
                 }
-                reservation.release();
-                memoryWaitNs = 0;
+                admission.release();
             }
         } catch (InvalidInputException e) {
             rejectMalformedInput(e.getMessage());
         }
         decoder.releaseConsumedBytes();
-        boolean readsOn = !closing && canRead() && !reservation.isWaiting();
+        boolean readsOn = !closing && canRead() && !admission.isWaiting();
         updateIncompleteSince(readsOn, anyMessage);
         channel.config().setAutoRead(readsOn);
     }
@@ -173,38 +159,20 @@
         if (startupComplete && decoder.messageType != 'Q' && decoder.messageType != 'X') {
             throw new InvalidInputException("no such command");
         }
-        int messageBytes = NettyTransport.pooledBytes(decoder.messageBytes());
-        if (reservation.reserve(messageBytes + MESSAGE_OVERHEAD_BYTES)) {
-            memoryWaitNs += shedTask == null ? 0 : clock.nowNs() - memoryWaitStartNs;
-            cancelShedTask();
-            return true;
+        if (admission.isWaiting()) {
+            return false;
         }
-        if (shedTask == null) {
-            memoryWaitStartNs = clock.nowNs();
-            metrics.increment(SidecarMetrics.Event.MEMORY_WAITED);
-            shedTask =
-                    channel.eventLoop()
-                            .schedule(
-                                    this::shedWaitingMessage,
-                                    memory.maxAdmissionWaitNs(),
-                                    TimeUnit.NANOSECONDS);
-            clientConnections.freeMemory();
+        if (admission.admit(decoder.messageBytes())) {
+            return true;
         }
+        metrics.increment(SidecarMetrics.Event.MEMORY_WAITED);
+        clientConnections.freeMemory();
         return false;
     }
 
-    private void cancelShedTask() {
-        if (shedTask != null) {
-            shedTask.cancel(false);
-            shedTask = null;
-        }
-    }
-
-    /** Sheds the message that waits for memory: discards it, and then responds to it. */
-    private void shedWaitingMessage() {
-        shedTask = null;
-        if (reservation.isWaiting() && !closing) {
-            reservation.release();
+    /** Sheds the message that has waited for memory: discards it, and then responds to it. */
+    private void shedMessage() {
+        if (!closing) {
             decoder.startDiscarding();
             decode();
         }
@@ -281,8 +249,8 @@
                 queryHandler.handleQuery(
                         this,
                         new ReservedBuffer(channel.alloc(), memory.requests())
-                                .append(decoder.retainBody(), reservation.take()),
-                        memoryWaitNs);
+                                .append(decoder.retainBody(), admission.takeReservation()),
+                        admission.waitedNs());
             }
             case 'X' -> {
                 closing = true;
@@ -312,8 +280,7 @@
 
     /** Releases the memory of the message that is being received. */
     private void abandonMessage() {
-        cancelShedTask();
-        reservation.release();
+        admission.release();
         decoder.release();
     }
 
