A pod's answer with a second RowDescription fails its try

Cause: PodResponseHandler checked that DataRow is the only one, and not that RowDescription is.

Change: a second one is invalid data. The try ends as reset, which may have run, and its connection closes.

Evidence: repeatedRowDescriptionFailsTry got the repeated answer (TTDrepeatedC) before and the other pod's now.

--- a/sidecar/src/main/java/mulleinlever/sidecar/PodResponseHandler.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodResponseHandler.java
@@ -63,14 +63,17 @@
     /**
      * Handles the message at which the decoder stands, which belongs to the response to a try.
      *
-     * @throws InvalidInputException if a DataRow has no RowDescription before it or is not the only
-     *     one
+     * @throws InvalidInputException if a DataRow has no RowDescription before it, or if either is
+     *     not the only one
      */
     void handleMessage(
             PodConnection connection, UpstreamTry upstreamTry, PostgresMessageDecoder decoder) {
         PartialResponse response = connection.response;
         switch (decoder.messageType) {
             case 'T' -> {
+                if (response.hasRowDescription) {
+                    throw new InvalidInputException("a second RowDescription");
+                }
                 response.hasRowDescription = true;
                 response.add(decoder.retainMessage(), connection.takeReservation());
             }
--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarProcessTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarProcessTest.java
@@ -118,6 +118,25 @@
                                 && sumLoggedCounts("try_reset") > 0);
     }
 
+    // A pod that repeated the RowDescription had all of them collected, whatever their number.
+    @Test
+    void repeatedRowDescriptionFailsTry() throws Exception {
+        byte[] rowDescription = encodeMessage('T', ROW_DESCRIPTION_BODY);
+        startPod(
+                (query, out) -> {
+                    out.write(rowDescription);
+                    return sendRow(out, "repeated");
+                });
+        startPod((query, out) -> sendRow(out, "complete"));
+        startSidecar();
+        try (Client client = new Client()) {
+            for (int i = 0; i < 10; i++) {
+                assertEquals("TDcompleteC", client.execute(selectSql("1", 1000)));
+            }
+        }
+        assertFalse(pods.get(0).received.isEmpty());
+    }
+
     @Test
     void shedsOnlyWhenRetryIsSafe() throws Exception {
         boolean[] closesConnection = {false};
