--- /dev/null
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
@@ -0,0 +1,235 @@
+package mulleinlever.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests that nothing is sent on for a client that has closed its connection. */
+@Timeout(60)
+class ClientLeaveTest extends SidecarTestBase {
+    /** The time after a client's close from which no attempt for it may begin. */
+    private static final long LEAVE_LIMIT_MS = 100;
+
+    /** How late the threads of the test may observe an attempt. */
+    private static final long OBSERVATION_SLACK_MS = 50;
+
+    /** How long the pods hold a request before they turn it away. */
+    private static final long TURN_AWAY_AFTER_MS = 350;
+
+    private static final int POD_COUNT = 14;
+    private static final int MAX_SOCKETS = 1024;
+    private static final Pattern ID = Pattern.compile("id=([0-9a-f]+)");
+
+    /** An attempt that a pod has received. */
+    private record Attempt(String id, int podIndex, long atMs) {}
+
+    private final Queue<Attempt> attempts = new ConcurrentLinkedQueue<>();
+
+    ClientLeaveTest() throws IOException {}
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** Starts pods that record each attempt, and then behave as given. */
+    private void startPods(PodBehavior behavior) throws IOException {
+        for (int i = 0; i < POD_COUNT; i++) {
+            int podIndex = i;
+            startPod(
+                    (query, out) -> {
+                        Matcher id = ID.matcher(query);
+                        assertTrue(id.find(), query);
+                        attempts.add(new Attempt(id.group(1), podIndex, nowMs()));
+                        return behavior.respond(query, out);
+                    });
+        }
+    }
+
+    private static boolean turnAway(String query, DataOutputStream out) throws Exception {
+        Thread.sleep(TURN_AWAY_AFTER_MS);
+        return sendError(out, "53300");
+    }
+
+    /** Starts a sidecar whose routes leave time for further attempts. */
+    private void startPatientSidecar() throws Exception {
+        configReplacements.put("\"aimNs\":500000000", "\"aimNs\":2000000000");
+        configReplacements.put("\"deadlineNs\":1500000000", "\"deadlineNs\":5000000000");
+        startSidecar(MAX_SOCKETS);
+    }
+
+    /** Writes queries at once on one connection, with what comes behind them. */
+    private Client pipeline(int count, Supplier<String> query, byte[] behind) throws IOException {
+        Client client = new Client();
+        var bytes = new ByteArrayOutputStream();
+        for (int i = 0; i < count; i++) {
+            bytes.write(queryMessage(query.get()));
+        }
+        bytes.write(behind);
+        startDaemonThread(() -> client.socket.getOutputStream().write(bytes.toByteArray()));
+        return client;
+    }
+
+    /** Checks that no attempt has begun after the time allowed for one client's close. */
+    private void assertNothingSentAfter(long closedMs, String what) throws InterruptedException {
+        Thread.sleep(3 * TURN_AWAY_AFTER_MS);
+        long limitMs = closedMs + LEAVE_LIMIT_MS + OBSERVATION_SLACK_MS;
+        List<Attempt> late = attempts.stream().filter(a -> a.atMs() > limitMs).toList();
+        long latestMs = late.stream().mapToLong(a -> a.atMs() - closedMs).max().orElse(0);
+        assertTrue(
+                late.isEmpty(),
+                what + ": " + late.size() + " attempts after the close, up to " + latestMs + " ms");
+    }
+
+    private void leaveAfterPipelining(int count, Supplier<String> query, boolean reset)
+            throws Exception {
+        Client client = pipeline(count, query, new byte[0]);
+        Thread.sleep(60);
+        if (reset) {
+            client.socket.setSoLinger(true, 0);
+        }
+        client.close();
+        assertNothingSentAfter(nowMs(), count + " requests" + (reset ? ", reset" : ""));
+    }
+
+    // Above a number of pipelined requests the connection was not read any more, so that its end
+    // was not seen: all requests in hand got further attempts after their client had left.
+    @Test
+    void nothingIsSentOnForClientThatLeftWithManyRequestsUnread() throws Exception {
+        startPods(ClientLeaveTest::turnAway);
+        startPatientSidecar();
+        for (int count : new int[] {1, 31, 40, 200, 2_000, 20_000}) {
+            leaveAfterPipelining(count, () -> selectSql("1", 5000), false);
+        }
+    }
+
+    // The same when the connection ends with a reset.
+    @Test
+    void nothingIsSentOnForClientThatResetWithManyRequestsUnread() throws Exception {
+        startPods(ClientLeaveTest::turnAway);
+        startPatientSidecar();
+        leaveAfterPipelining(200, () -> selectSql("1", 5000), true);
+    }
+
+    // The same for long requests, of which each waits for memory and ends far behind the first.
+    @Test
+    void nothingIsSentOnForClientThatLeftWithLongRequestsUnread() throws Exception {
+        startPods(ClientLeaveTest::turnAway);
+        startPatientSidecar();
+        String value = "\\x" + "9f".repeat(10_000);
+        leaveAfterPipelining(100, () -> insertSql(value, 2500), false);
+    }
+
+    // After Terminate nothing was read any more, so that the end behind it was not seen.
+    @Test
+    void nothingIsSentOnForClientThatSaidTerminateAndLeft() throws Exception {
+        startPods(ClientLeaveTest::turnAway);
+        startPatientSidecar();
+        Client client = pipeline(10, () -> selectSql("1", 5000), new byte[] {'X', 0, 0, 0, 4});
+        Thread.sleep(60);
+        client.close();
+        assertNothingSentAfter(nowMs(), "Terminate");
+    }
+
+    // After a message that could not be read, nothing was read any more either.
+    @Test
+    void nothingIsSentOnForClientThatSentNoiseAndLeft() throws Exception {
+        startPods(ClientLeaveTest::turnAway);
+        startPatientSidecar();
+        Client client = pipeline(10, () -> selectSql("1", 5000), new byte[4_000]);
+        Thread.sleep(60);
+        client.close();
+        assertNothingSentAfter(nowMs(), "noise");
+    }
+
+    // An id was forgotten when its client had left, so that it ran again when it came again:
+    // outside of its dedup scope, or after its dedup window.
+    @Test
+    void keyedIdRunsOnlyOnceWhenItComesAgainAfterItsClientLeft() throws Exception {
+        startPods(
+                (query, out) -> {
+                    Thread.sleep(100);
+                    return sendRow(out, "v");
+                });
+        startPatientSidecar();
+        List<String> queries = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            String query = insertSql("v" + i, 2500);
+            queries.add(query);
+            Client client = new Client();
+            client.sendQuery(query);
+            Thread.sleep(30);
+            client.close();
+            if (i % 2 == 0) {
+                // Comes again within the dedup window.
+                Thread.sleep(20);
+                executeAgain(query);
+            }
+        }
+        Thread.sleep(800);
+        queries.forEach(this::executeAgain);
+        Map<String, Attempt> first = new HashMap<>();
+        List<String> repeats = new ArrayList<>();
+        for (Attempt attempt : attempts) {
+            Attempt earlier = first.putIfAbsent(attempt.id(), attempt);
+            boolean deduplicated =
+                    earlier == null
+                            || attempt.atMs() - earlier.atMs() <= 400 + OBSERVATION_SLACK_MS
+                                    && attempt.podIndex() % 2 == earlier.podIndex() % 2;
+            if (!deduplicated) {
+                repeats.add(attempt + " after " + earlier);
+            }
+        }
+        assertTrue(repeats.isEmpty(), repeats.size() + " ran twice, such as " + repeats);
+        assertTrue(wrongAnswers.isEmpty(), wrongAnswers.toString());
+    }
+
+    private final Queue<String> wrongAnswers = new ConcurrentLinkedQueue<>();
+
+    /** Sends an id again, which must not be refused, since its first attempt may have run. */
+    private void executeAgain(String query) {
+        try (Client client = new Client()) {
+            String answer = client.execute(query);
+            if (answer.startsWith("E53300") || answer.startsWith("E42601")) {
+                wrongAnswers.add(answer + " to " + query);
+            }
+        } catch (IOException e) {
+            wrongAnswers.add(e.toString());
+        }
+    }
+
+    // A safe id that comes again at once, while the attempts of the client that left are still
+    // being cancelled, was told that it is in hand.
+    @Test
+    void safeIdThatComesAgainAtOnceIsServed() throws Exception {
+        startPods(
+                (query, out) -> {
+                    Thread.sleep(50);
+                    return sendRow(out, "v");
+                });
+        startPatientSidecar();
+        for (int i = 0; i < 30; i++) {
+            String query = selectSql("1", 2500);
+            Client client = new Client();
+            client.sendQuery(query);
+            Thread.sleep(20);
+            Client second = new Client();
+            client.close();
+            assertEquals("TDvC", second.execute(query));
+            second.close();
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientMemoryTest.java
@@ -0,0 +1,176 @@
+package mulleinlever.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests that hundreds of slow or stopped clients neither use up memory nor delay other clients. */
+@Timeout(60)
+class ClientMemoryTest extends SidecarTestBase {
+    private static final int TROUBLE_MS = 4_000;
+    private static final int BAD_CLIENTS = 400;
+    private static final int REQUESTS_PER_SECOND = 120;
+    private static final int MAX_SOCKETS = 1024;
+    private static final int TIMEOUT_MS = 500;
+
+    /** The memory that the process may take, in MiB. */
+    private static final int MEMORY_LIMIT_MB = 128;
+
+    private final AtomicBoolean ended = new AtomicBoolean();
+
+    ClientMemoryTest() throws IOException {}
+
+    /** Runs one client of a disturbance until it is closed. */
+    interface BadClient {
+        void run(int number) throws Exception;
+    }
+
+    private void startSidecarWithLimit() throws Exception {
+        configReplacements.put(
+                "\"limits\":{", "\"limits\":{\"memory_mb\":" + MEMORY_LIMIT_MB + ",");
+        extraJvmFlags.addAll(
+                List.of(
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xms40m",
+                        "-XX:MaxMetaspaceSize=32m",
+                        "-XX:ReservedCodeCacheSize=16m",
+                        "-Xss256k"));
+        startSidecar(MAX_SOCKETS);
+    }
+
+    /** Returns the peak size of the sidecar's process, in MiB. */
+    private long peakMemoryMb() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(l -> l.startsWith("VmHWM:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", "")) / 1024)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void assertOthersAreServedBeside(BadClient badClient) throws Exception {
+        new ClientTraffic(this, TIMEOUT_MS).run(REQUESTS_PER_SECOND, 500);
+        for (int i = 0; i < BAD_CLIENTS; i++) {
+            int number = i;
+            startDaemonThread(
+                    () -> {
+                        while (!ended.get()) {
+                            try {
+                                badClient.run(number);
+                            } catch (IOException e) {
+                                // Closed by the sidecar, as it may be.
+                            }
+                            Thread.sleep(20);
+                        }
+                    });
+        }
+        ClientTraffic traffic = new ClientTraffic(this, TIMEOUT_MS);
+        traffic.run(REQUESTS_PER_SECOND, TROUBLE_MS);
+        ended.set(true);
+        System.out.println("beside bad clients: " + traffic + ", peak " + peakMemoryMb() + " MB");
+        assertTrue(traffic.lost.isEmpty(), traffic.toString());
+        assertTrue(
+                traffic.servedCount() >= 0.9 * REQUESTS_PER_SECOND * TROUBLE_MS / 1000,
+                traffic.toString());
+        assertTrue(process.isAlive(), logText());
+        assertTrue(peakMemoryMb() <= MEMORY_LIMIT_MB, "peak " + peakMemoryMb() + " MB");
+        assertFalse(logText().contains("fault"), logText());
+    }
+
+    private void startPods(byte[] value) throws IOException {
+        for (int i = 0; i < 14; i++) {
+            startPod(
+                    (query, out) -> {
+                        Thread.sleep(5);
+                        out.write(
+                                rowResponse(
+                                        query.contains("'long'")
+                                                ? value
+                                                : "v".getBytes(StandardCharsets.US_ASCII)));
+                        return true;
+                    });
+        }
+    }
+
+    // Startup messages of any number of fields were collected up to the length of the longest
+    // query.
+    @Test
+    void othersAreServedBesideUnfinishedLongStartupMessages() throws Exception {
+        startPods(new byte[1]);
+        startSidecarWithLimit();
+        byte[] fields = "a\0b\0".repeat(37_000).getBytes(StandardCharsets.US_ASCII);
+        var head = new ByteArrayOutputStream();
+        var out = new DataOutputStream(head);
+        out.writeInt(fields.length + 100);
+        out.writeInt(3 << 16);
+        out.write(fields);
+        assertOthersAreServedBeside(
+                number -> {
+                    try (Client client = new Client(false)) {
+                        client.socket.getOutputStream().write(head.toByteArray());
+                        client.isClosedByPeer();
+                    }
+                });
+    }
+
+    // Clients that stop in the middle of a long request, or write it slowly.
+    @Test
+    void othersAreServedBesideHalfAndSlowRequests() throws Exception {
+        startPods(new byte[1]);
+        startSidecarWithLimit();
+        byte[] query = queryMessage(insertSql("\\x" + "9f".repeat(60_000), 2000));
+        assertOthersAreServedBeside(
+                number -> {
+                    try (Client client = new Client()) {
+                        var out = client.socket.getOutputStream();
+                        if (number % 2 == 0) {
+                            out.write(query, 0, query.length / 2);
+                            client.isClosedByPeer();
+                        }
+                        for (int i = 0; i < query.length && !ended.get(); i += 100) {
+                            out.write(query, i, Math.min(100, query.length - i));
+                            Thread.sleep(5);
+                        }
+                    }
+                });
+    }
+
+    // Clients that don't read their answers counted as busy while they had requests in hand, and
+    // kept the memory of answers that all others needed.
+    @Test
+    void othersAreServedBesideClientsThatReadNoAnswers() throws Exception {
+        byte[] value = new byte[60_000];
+        Arrays.fill(value, (byte) 'x');
+        startPods(value);
+        startSidecarWithLimit();
+        List<Client> unread = new ArrayList<>();
+        assertOthersAreServedBeside(
+                number -> {
+                    Client client = new Client();
+                    synchronized (unread) {
+                        unread.add(client);
+                    }
+                    client.socket.setReceiveBufferSize(4096);
+                    for (int i = 0; i < 40; i++) {
+                        client.sendQuery(newSelectSql("long", 5000));
+                    }
+                    TimeUnit.MILLISECONDS.sleep(TROUBLE_MS);
+                });
+        for (Client client : unread) {
+            client.close();
+        }
+    }
+}
--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
@@ -19,8 +19,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
@@ -148,6 +151,9 @@
      */
     int descriptorLimit;
 
+    /** Parts of the configuration's text, and what stands in their place. */
+    final Map<String, String> configReplacements = new LinkedHashMap<>();
+
     /** JVM flags of the sidecar's process that replace the usual ones of the same name. */
     final List<String> extraJvmFlags = new ArrayList<>();
 
@@ -363,8 +369,7 @@
     Path writeConfig(int maxSockets) throws IOException {
         String[] entries = new String[pods.size()];
         Arrays.setAll(entries, i -> podJson(i, 1, "ready"));
-        return Files.writeString(
-                folder.resolve("config.json"),
+        String config =
                 configJson(
                                 "127.0.0.1:" + port,
                                 discovery.hostPort(),
@@ -373,7 +378,11 @@
                                 maxSockets)
                         .replace(
                                 "\"discovery\":\"subscribe\"",
-                                "\"discovery\":\"" + discoveryMode + "\""));
+                                "\"discovery\":\"" + discoveryMode + "\"");
+        for (Map.Entry<String, String> replacement : configReplacements.entrySet()) {
+            config = config.replace(replacement.getKey(), replacement.getValue());
+        }
+        return Files.writeString(folder.resolve("config.json"), config);
     }
 
     String logText() {
@@ -561,11 +570,22 @@
 
     int lastReqId;
 
-    /** Returns a read with a new req id, whose client waits for the given time. */
-    String selectSql(String ref, int timeoutMs) {
+    private final AtomicInteger newReqIds = new AtomicInteger(1 << 24);
+
+    /** Returns a read with a new req id, on any thread; its client waits for the given time. */
+    String newSelectSql(String ref, int timeoutMs) {
+        return selectSql(ref, timeoutMs, newReqIds.incrementAndGet());
+    }
+
+    private static String selectSql(String ref, int timeoutMs, int reqId) {
         return String.format(
                 "SELECT payload FROM entries WHERE ref = '%s' /* id=%016x,c=get,t=acme,d=%d */",
-                ref, ++lastReqId, timeoutMs);
+                ref, reqId, timeoutMs);
+    }
+
+    /** Returns a read with a new req id, whose client waits for the given time. */
+    String selectSql(String ref, int timeoutMs) {
+        return selectSql(ref, timeoutMs, ++lastReqId);
     }
 
     /** Returns a write with a dedup key and a new req id; its client waits for the given time. */
