Log clients that leave with commands in hand, pauses in reading, and the loop's delay

New names in the count line: client_left, malformed, read_paused, loop_ms; a line for up to three clients a second that leave. fleetlog shows loop_ms and the sizes of memory as means.

--- a/lab/src/main/java/mulleinlever/lab/FleetLog.java
+++ b/lab/src/main/java/mulleinlever/lab/FleetLog.java
@@ -51,7 +51,11 @@
                     "cold",
                     "dark",
                     "ease",
-                    "list_age");
+                    "list_age",
+                    "pool_mb",
+                    "req_mb",
+                    "resp_mb",
+                    "loop_ms");
 
     private final TreeMap<Long, Map<String, Double>> valuesBySecond = new TreeMap<>();
     private final List<ReqLogLine> reqLines = new ArrayList<>();
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -26,6 +26,9 @@
     /** The value of {@link #incompleteSinceNs} while the client owes no rest of a message. */
     private static final long NOT_INCOMPLETE = Long.MIN_VALUE;
 
+    /** The value of {@link #readPausedSinceNs} while the connection is being read. */
+    private static final long READING = Long.MIN_VALUE;
+
     /** The code of SSLRequest, in the place of a startup message's protocol version. */
     private static final int SSL_REQUEST_CODE = 80_877_103;
 
@@ -58,6 +61,9 @@
      */
     private long incompleteSinceNs = NOT_INCOMPLETE;
 
+    /** Since when the connection is not being read; {@link #READING} while it is. */
+    private long readPausedSinceNs = READING;
+
     /** The size of the responses that were written but not yet taken by the network. */
     private int unsentResponseBytes;
 
@@ -126,7 +132,17 @@
         decoder.releaseConsumedBytes();
         boolean readsOn = !closing && canRead() && !admission.isWaiting();
         updateIncompleteSince(readsOn, anyMessage);
-        channel.config().setAutoRead(readsOn);
+        setReading(readsOn);
+    }
+
+    private void setReading(boolean reading) {
+        if (reading) {
+            readPausedSinceNs = READING;
+        } else if (readPausedSinceNs == READING) {
+            readPausedSinceNs = clock.nowNs();
+            metrics.increment(SidecarMetrics.Event.READ_PAUSED);
+        }
+        channel.config().setAutoRead(reading);
     }
 
     /**
@@ -265,6 +281,7 @@
      * commands received before it.
      */
     private void rejectMalformedInput(String reason) {
+        metrics.increment(SidecarMetrics.Event.MALFORMED);
         respondAndClose(PostgresMessages.PROTOCOL_VIOLATION, reason);
     }
 
@@ -398,6 +415,12 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
+        if (!pendingCommands.isEmpty()) {
+            metrics.recordClientLeft(
+                    pendingCommands.size(),
+                    decoder.unreadBytes(),
+                    readPausedSinceNs == READING ? 0 : clock.nowNs() - readPausedSinceNs);
+        }
         clientConnections.connectionClosed(this);
         abandonMessage();
         for (PendingCommand command : pendingCommands) {
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -21,11 +21,11 @@
     final DiscoveryClient discoveryClient;
     final ReleasePlatformClient releasePlatformClient;
     final Policy policy;
+    final SidecarMetrics metrics;
     private final PodConnectionPool connectionPool;
     private final MessageMemory memory;
     private final NettyTransport transport;
     private final QueryHandler queryHandler;
-    private final SidecarMetrics metrics;
     private final Clock clock;
     private final RateLimitedLog log;
     private boolean wallClockStepped;
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
@@ -49,6 +49,12 @@
         EVICTED,
         /** A client connection was closed because its client kept the sidecar waiting. */
         STALLED,
+        /** A client ended its connection while commands of it were in hand. */
+        CLIENT_LEFT,
+        /** A client connection was closed because of a message that no client may send. */
+        MALFORMED,
+        /** Reading from a client paused. */
+        READ_PAUSED,
         /** A message of a client waited for memory. */
         MEMORY_WAITED,
         /** A message of a client was shed for lack of memory. */
@@ -67,6 +73,9 @@
     /** The maximum number of shed, errored or overdue reqs that are logged with their tries. */
     private static final int MAX_LOGGED_REQS_PER_SECOND = 3;
 
+    /** The maximum number of clients that left with commands in hand that are logged. */
+    private static final int MAX_LOGGED_CLIENTS_PER_SECOND = 3;
+
     private static final double BYTES_PER_MB = 1 << 20;
 
     private final Clock clock;
@@ -77,6 +86,12 @@
     /** The number of shed, errored or overdue reqs since the last line. */
     private int failedOrOverdueCount;
 
+    /** The number of clients that left with commands in hand since the last line. */
+    private int clientLeftCount;
+
+    /** The longest delay of the event loop since the last line, in nanoseconds. */
+    private long maxLoopDelayNs;
+
     SidecarMetrics(Clock clock, RateLimitedLog log) {
         this.clock = clock;
         this.log = log;
@@ -114,6 +129,32 @@
         }
     }
 
+    /**
+     * Records that a client has ended its connection while commands of it were in hand. The first
+     * ones of each second are logged.
+     *
+     * @param unreadNs for how long its connection had not been read when the end was seen
+     */
+    void recordClientLeft(int commandCount, int undecodedBytes, long unreadNs) {
+        increment(Event.CLIENT_LEFT);
+        if (++clientLeftCount <= MAX_LOGGED_CLIENTS_PER_SECOND) {
+            log.info(
+                    "clients",
+                    "left with "
+                            + commandCount
+                            + " commands in hand, "
+                            + undecodedBytes
+                            + " bytes undecoded, not read for "
+                            + unreadNs / 1_000_000
+                            + " ms");
+        }
+    }
+
+    /** Records by how much the event loop was late. */
+    void recordLoopDelay(long delayNs) {
+        maxLoopDelayNs = Math.max(maxLoopDelayNs, delayNs);
+    }
+
     /** Returns the log line of a req; times are in milliseconds since its receipt. */
     private static String describeReq(PendingCommand command, Event event, long tookNs) {
         StringBuilder description =
@@ -159,6 +200,9 @@
             outcomeCounts[outcome.ordinal()] = 0;
         }
         failedOrOverdueCount = 0;
+        clientLeftCount = 0;
+        long loopDelayNs = maxLoopDelayNs;
+        maxLoopDelayNs = 0;
         if (line.length() > 0) {
             log.info(
                     "count",
@@ -167,7 +211,7 @@
                                             Locale.ROOT,
                                             "clients=%d links=%d room=%.1f open=%d first=%d "
                                                     + "further=%d ease=%.2f ready=%d usable=%d fit=%d cold=%d dark=%d list_age=%.1f "
-                                                    + "pool_mb=%.1f req_mb=%.1f resp_mb=%.1f",
+                                                    + "pool_mb=%.1f req_mb=%.1f resp_mb=%.1f loop_ms=%.1f",
                                             clientConnectionCount,
                                             podConnectionCount,
                                             stats.tryLimit(),
@@ -183,7 +227,8 @@
                                             listAgeNs / 1e9,
                                             memory.poolBytes() / BYTES_PER_MB,
                                             memory.requestBytes() / BYTES_PER_MB,
-                                            memory.responseBytes() / BYTES_PER_MB))
+                                            memory.responseBytes() / BYTES_PER_MB,
+                                            loopDelayNs / 1e6))
                             .toString());
         }
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarServer.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarServer.java
@@ -234,6 +234,7 @@
     private void checkLoopDelay() {
         long nowNs = clock.nowNs();
         long delayNs = nowNs - lastLoopCheckNs - LOOP_CHECK_INTERVAL_NS;
+        components.metrics.recordLoopDelay(delayNs);
         if (delayNs > LOGGED_LOOP_DELAY_NS) {
             log.info(
                     "loop",
