--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import mulleinlever.ClientConnectionPolicy;
 import mulleinlever.ClientConnectionPolicy.State;
 import mulleinlever.settings.InvalidInputException;
@@ -43,12 +42,10 @@
     private final Clock clock;
     private final RateLimitedLog log;
 
-    /** The commands without a written response, in the order of their arrival. */
-    private final ArrayDeque<PendingCommand> pendingCommands = new ArrayDeque<>();
-
     private Channel channel;
     private PostgresMessageDecoder decoder;
     private RequestAdmission admission;
+    private ResponseQueue responses;
     private boolean startupComplete;
     private boolean closing;
 
@@ -64,9 +61,6 @@
     /** Since when the connection is not being read; {@link #READING} while it is. */
     private long readPausedSinceNs = READING;
 
-    /** The size of the responses that were written but not yet taken by the network. */
-    private int unsentResponseBytes;
-
     ClientConnection(
             QueryHandler queryHandler,
             ClientConnections clientConnections,
@@ -97,6 +91,7 @@
                         clock,
                         this::scheduleDecode,
                         this::shedMessage);
+        responses = new ResponseQueue(channel, memory.responses(), this::recordProgress);
         lastProgressNs = clock.nowNs();
         incompleteSinceNs = lastProgressNs;
         clientConnections.connectionOpened(this);
@@ -223,7 +218,7 @@
 
     /** Returns whether another message may be decoded. */
     private boolean canRead() {
-        return pendingCommands.size() < MAX_PIPELINED_COMMANDS && channel.isWritable();
+        return responses.size() < MAX_PIPELINED_COMMANDS && channel.isWritable();
     }
 
     /**
@@ -305,13 +300,13 @@
     void respond(ByteBuf response) {
         PendingCommand command = new PendingCommand(this, null);
         command.response = response;
-        pendingCommands.add(command);
+        responses.add(command);
         flushResponses();
     }
 
     /** Queues a req for its response. */
     void enqueue(PendingCommand command) {
-        pendingCommands.add(command);
+        responses.add(command);
     }
 
     /**
@@ -319,24 +314,12 @@
      * connection that is due to close, or resumes reading where it was paused.
      */
     void flushResponses() {
-        boolean responseWritten = false;
-        while (!pendingCommands.isEmpty() && pendingCommands.peek().response != null) {
-            ByteBuf response = pendingCommands.poll().response;
-            int responseBytes = response.readableBytes();
-            // The memory of a pod's response is reserved with the buffer.
-            int reservedBytes = response instanceof ReservedBuffer ? 0 : responseBytes;
-            memory.responses().reserve(reservedBytes);
-            unsentResponseBytes += responseBytes;
-            channel.write(response)
-                    .addListener(future -> responseSent(responseBytes, reservedBytes));
-            responseWritten = true;
-        }
-        if (!responseWritten) {
+        if (!responses.writeAvailable()) {
             return;
         }
-        lastProgressNs = clock.nowNs();
+        recordProgress();
         channel.flush();
-        if (pendingCommands.isEmpty()
+        if (responses.isEmpty()
                 && (closing || clientConnections.isShuttingDown() && !decoder.isMidMessage())) {
             flushAndClose();
         } else if (!channel.config().isAutoRead()) {
@@ -344,10 +327,8 @@
         }
     }
 
-    private void responseSent(int responseBytes, int reservedBytes) {
+    private void recordProgress() {
         lastProgressNs = clock.nowNs();
-        unsentResponseBytes -= responseBytes;
-        memory.responses().release(reservedBytes);
     }
 
     /** Closes the connection after all written responses have been sent. */
@@ -361,7 +342,7 @@
      * bytes are left to decode.
      */
     void closeIfIdle() {
-        if (pendingCommands.isEmpty() && (closing || !decoder.isMidMessage())) {
+        if (responses.isEmpty() && (closing || !decoder.isMidMessage())) {
             flushAndClose();
         }
     }
@@ -371,10 +352,10 @@
         if (!closing && incompleteSinceNs != NOT_INCOMPLETE) {
             return new ClientConnectionPolicy.Activity(State.AWAITING_MESSAGE, incompleteSinceNs);
         }
-        if (!pendingCommands.isEmpty()) {
+        if (!responses.isEmpty()) {
             return new ClientConnectionPolicy.Activity(State.BUSY, lastProgressNs);
         }
-        if (closing || unsentResponseBytes > 0) {
+        if (closing || responses.hasUnsentResponses()) {
             return new ClientConnectionPolicy.Activity(State.AWAITING_READER, lastProgressNs);
         }
         return new ClientConnectionPolicy.Activity(
@@ -415,23 +396,15 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
-        if (!pendingCommands.isEmpty()) {
+        if (!responses.isEmpty()) {
             metrics.recordClientLeft(
-                    pendingCommands.size(),
+                    responses.size(),
                     decoder.unreadBytes(),
                     readPausedSinceNs == READING ? 0 : clock.nowNs() - readPausedSinceNs);
         }
         clientConnections.connectionClosed(this);
         abandonMessage();
-        for (PendingCommand command : pendingCommands) {
-            if (command.response != null) {
-                command.response.release();
-            }
-            if (command.statement != null) {
-                reqRegistry.onClientDisconnected(command);
-            }
-        }
-        pendingCommands.clear();
+        responses.clear(reqRegistry);
     }
 
     @Override
--- /dev/null
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ResponseQueue.java
@@ -0,0 +1,95 @@
+package mulleinlever.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import java.util.ArrayDeque;
+
+/**
+ * The commands of one client connection that have no written response yet. Writes the responses in
+ * the order of the commands. Called by the event loop only.
+ */
+final class ResponseQueue {
+    private final Channel channel;
+    private final MessageMemoryLimiter memory;
+    private final Runnable onSent;
+
+    /** The commands without a written response, in the order of their arrival. */
+    private final ArrayDeque<PendingCommand> commands = new ArrayDeque<>();
+
+    /** The size of the responses that were written but not yet taken by the network. */
+    private int unsentBytes;
+
+    /**
+     * @param memory the memory of responses
+     * @param onSent called when the network has taken a response
+     */
+    ResponseQueue(Channel channel, MessageMemoryLimiter memory, Runnable onSent) {
+        this.channel = channel;
+        this.memory = memory;
+        this.onSent = onSent;
+    }
+
+    /** Adds a command behind those that were received before. */
+    void add(PendingCommand command) {
+        commands.add(command);
+    }
+
+    boolean isEmpty() {
+        return commands.isEmpty();
+    }
+
+    int size() {
+        return commands.size();
+    }
+
+    /** Returns whether the network hasn't taken all responses that were written. */
+    boolean hasUnsentResponses() {
+        return unsentBytes > 0;
+    }
+
+    /**
+     * Writes the responses that are available, up to the first command without one. The caller
+     * flushes the channel.
+     *
+     * @return whether any was written
+     */
+    boolean writeAvailable() {
+        boolean anyWritten = false;
+        while (!commands.isEmpty() && commands.peek().response != null) {
+            write(commands.poll().response);
+            anyWritten = true;
+        }
+        return anyWritten;
+    }
+
+    private void write(ByteBuf response) {
+        int responseBytes = response.readableBytes();
+        // The memory of a pod's response is reserved with the buffer.
+        int reservedBytes = response instanceof ReservedBuffer ? 0 : responseBytes;
+        memory.reserve(reservedBytes);
+        unsentBytes += responseBytes;
+        channel.write(response).addListener(future -> sent(responseBytes, reservedBytes));
+    }
+
+    private void sent(int responseBytes, int reservedBytes) {
+        unsentBytes -= responseBytes;
+        memory.release(reservedBytes);
+        onSent.run();
+    }
+
+    /**
+     * Removes all commands after the client has disconnected: releases responses that weren't
+     * written, and ends the reqs.
+     */
+    void clear(ReqRegistry reqRegistry) {
+        for (PendingCommand command : commands) {
+            if (command.response != null) {
+                command.response.release();
+            }
+            if (command.statement != null) {
+                reqRegistry.onClientDisconnected(command);
+            }
+        }
+        commands.clear();
+    }
+}
