Connections are read on behind 32 pipelined commands, so that their end is seen

Cause: at 32 commands without a response, reading paused, and NIO reports neither the end nor a reset of a channel without read interest. Evidence: 1 and 31 requests: none sent on; 40 and more: all 32 in hand were.

Change: what is sent ahead is read and held undecoded (ReadAhead), for 8% of the network buffers, of which one connection has a quarter. Beyond that the oldest is answered 53300 without being sent, in the order of the commands; any number of such answers in a row takes the memory of one. Decoding resumes by a timer, so that other connections are read in between.

--- a/core/src/main/java/mulleinlever/MemoryLimits.java
+++ b/core/src/main/java/mulleinlever/MemoryLimits.java
@@ -5,17 +5,23 @@
  *
  * @param requestBytes the budget for messages of clients, in bytes
  * @param responseBytes the budget for messages of pods and unread responses, in bytes
+ * @param readAheadBytes the budget for what clients send before their earlier commands have their
+ *     responses, in bytes
  * @param maxAdmissionWaitNs how long a client's message waits for memory before it is shed
  */
-public record MemoryLimits(long requestBytes, long responseBytes, long maxAdmissionWaitNs) {
+public record MemoryLimits(
+        long requestBytes, long responseBytes, long readAheadBytes, long maxAdmissionWaitNs) {
     /** The share of the process's memory that network buffers may take. */
     private static final double NETWORK_SHARE = 0.2;
 
     /** The share of the network buffers for messages of clients. */
     private static final double REQUEST_SHARE = 0.45;
 
+    /** The share of the network buffers for what clients send ahead. */
+    private static final double READ_AHEAD_SHARE = 0.08;
+
     /**
-     * The share of the network buffers for messages of pods. The rest beside both is for
+     * The share of the network buffers for messages of pods. The rest beside these is for
      * connections without a message, discovery, the platform, and fragmentation.
      */
     private static final double RESPONSE_SHARE = 0.25;
@@ -32,6 +38,14 @@
      */
     private static final long MAX_ADMISSION_WAIT_NS = 80_000_000L;
 
+    /** The share of the budget for what is sent ahead that one connection may use. */
+    private static final double CONNECTION_READ_AHEAD_SHARE = 0.25;
+
+    /** Returns how much of what one client sends ahead is held, in bytes. */
+    public long connectionReadAheadBytes() {
+        return (long) (CONNECTION_READ_AHEAD_SHARE * readAheadBytes);
+    }
+
     /**
      * Returns the limits of a process.
      *
@@ -52,6 +66,7 @@
         return new MemoryLimits(
                 (long) (REQUEST_SHARE * networkBytes),
                 (long) (RESPONSE_SHARE * networkBytes),
+                (long) (READ_AHEAD_SHARE * networkBytes),
                 Math.min(MAX_ADMISSION_WAIT_NS, (long) (ADMISSION_WAIT_SHARE * minObjectiveNs)));
     }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -7,8 +7,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import mulleinlever.ClientConnectionPolicy;
 import mulleinlever.ClientConnectionPolicy.State;
+import mulleinlever.PipelinePolicy;
 import mulleinlever.settings.InvalidInputException;
 
 /**
@@ -17,11 +19,6 @@
  * one channel and is called by the event loop only.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-    /**
-     * The maximum number of commands that wait for their responses; reading pauses at this number.
-     */
-    private static final int MAX_PIPELINED_COMMANDS = 32;
-
     /** The value of {@link #incompleteSinceNs} while the client owes no rest of a message. */
     private static final long NOT_INCOMPLETE = Long.MIN_VALUE;
 
@@ -46,9 +43,16 @@
     private PostgresMessageDecoder decoder;
     private RequestAdmission admission;
     private ResponseQueue responses;
+    private ReadAhead readAhead;
     private boolean startupComplete;
     private boolean closing;
 
+    /** Whether {@link #decode} is running. */
+    private boolean decoding;
+
+    /** Whether a call of {@link #resumeDecode} is due. */
+    private boolean decodeScheduled;
+
     /** When bytes were last received, or a response was last written or taken by the network. */
     private long lastProgressNs;
 
@@ -92,6 +96,7 @@
                         this::scheduleDecode,
                         this::shedMessage);
         responses = new ResponseQueue(channel, memory.responses(), this::recordProgress);
+        readAhead = new ReadAhead(memory.readAhead(), memory.limits().connectionReadAheadBytes());
         lastProgressNs = clock.nowNs();
         incompleteSinceNs = lastProgressNs;
         clientConnections.connectionOpened(this);
@@ -104,15 +109,23 @@
             ((ByteBuf) msg).release();
             return;
         }
-        decoder.addBytes((ByteBuf) msg);
+        if (readAhead.isEmpty() && mayDecode()) {
+            decoder.addBytes((ByteBuf) msg);
+        } else {
+            readAhead.add((ByteBuf) msg);
+        }
         decode();
     }
 
-    /** Decodes and handles messages until reading has to pause, and sets auto-read accordingly. */
+    /**
+     * Decodes and handles messages as far as the commands ahead of them allow. Reading goes on
+     * nevertheless, since the end of the connection is found only behind what was sent before.
+     */
     private void decode() {
         boolean anyMessage = false;
+        decoding = true;
         try {
-            while (!closing && canRead() && nextMessage()) {
+            while (!closing && nextMessage()) {
                 anyMessage = true;
                 if (startupComplete) {
                     handleMessage();
@@ -123,10 +136,12 @@
             }
         } catch (InvalidInputException e) {
             rejectMalformedInput(e.getMessage());
+        } finally {
+            decoding = false;
         }
         decoder.releaseConsumedBytes();
-        boolean readsOn = !closing && canRead() && !admission.isWaiting();
-        updateIncompleteSince(readsOn, anyMessage);
+        boolean readsOn = !closing && channel.isWritable() && !admission.isWaiting();
+        updateIncompleteSince(readsOn && mayHandle(), anyMessage);
         setReading(readsOn);
     }
 
@@ -141,35 +156,61 @@
     }
 
     /**
-     * Advances to the next message. Returns false if it hasn't been received completely, or waits
-     * for memory.
+     * Advances to the next message to handle, and sheds those that can't wait for it. Returns false
+     * if there is none that has been received completely and has memory.
      *
      * @throws InvalidInputException if it is none that a client may send
      */
     private boolean nextMessage() {
-        if (decoder.isDiscarding()) {
-            decoder.discardReceivedBytes();
+        while (!closing && mayDecode()) {
             if (decoder.isDiscarding()) {
+                decoder.discardReceivedBytes();
+                if (!decoder.isDiscarding()) {
+                    respondShed();
+                    continue;
+                }
+            } else if (decoder.readHeader(startupComplete)) {
+                if (!admitMessage()) {
+                    return false;
+                }
+                if (decoder.isDiscarding()) {
+                    continue;
+                }
+                if (decoder.readMessage()) {
+                    return true;
+                }
+            }
+            if (!readAhead.moveTo(decoder)) {
                 return false;
             }
-            respondShed();
         }
-        return !closing
-                && decoder.readHeader(startupComplete)
-                && reserveMemory()
-                && decoder.readMessage();
+        return false;
     }
 
     /**
-     * Reserves memory for the next message, whose header has been read. Returns false if none is
-     * available; the message is shed if that lasts too long.
+     * Decides on the next message, whose header has been read: it is shed if the client has sent
+     * too much ahead, and needs memory otherwise. Returns false if it waits for memory.
      *
      * @throws InvalidInputException if the message is none that a client may send
      */
-    private boolean reserveMemory() {
+    private boolean admitMessage() {
         if (startupComplete && decoder.messageType != 'Q' && decoder.messageType != 'X') {
             throw new InvalidInputException("no such command");
         }
+        if (!mayHandle() && decoder.messageType != 'X') {
+            metrics.increment(SidecarMetrics.Event.AHEAD_SHED);
+            admission.release();
+            decoder.startDiscarding();
+            return true;
+        }
+        return reserveMemory();
+    }
+
+    /**
+     * Reserves memory for the next message, whose header has been read. Returns false if none is
+     * available; the message is shed if that lasts too long.
+     */
+    private boolean reserveMemory() {
         if (admission.isWaiting()) {
             return false;
         }
@@ -184,26 +225,25 @@
     /** Sheds the message that has waited for memory: discards it, and then responds to it. */
     private void shedMessage() {
         if (!closing) {
+            metrics.increment(SidecarMetrics.Event.MEMORY_SHED);
             decoder.startDiscarding();
             decode();
         }
     }
 
-    /** Responds to a message that was discarded for lack of memory and never forwarded. */
+    /** Responds to a message that was discarded and never forwarded. */
     private void respondShed() {
-        metrics.increment(SidecarMetrics.Event.MEMORY_SHED);
         if (!startupComplete) {
             respondAndClose(PostgresMessages.TOO_MANY_CONNECTIONS, "shed: try again");
             return;
         }
-        respond(
-                PostgresMessages.errorResponse(
-                        PostgresMessages.TOO_MANY_CONNECTIONS, "shed: try again", 0, true));
+        responses.addShed(this);
+        flushResponses();
     }
 
-    private void updateIncompleteSince(boolean readsOn, boolean anyMessage) {
+    private void updateIncompleteSince(boolean awaitsBytes, boolean anyMessage) {
         boolean incomplete = !startupComplete || decoder.isMidMessage();
-        if (!readsOn || !incomplete) {
+        if (!awaitsBytes || !incomplete) {
             incompleteSinceNs = NOT_INCOMPLETE;
         } else if (anyMessage && startupComplete || incompleteSinceNs == NOT_INCOMPLETE) {
             incompleteSinceNs = clock.nowNs();
@@ -216,23 +256,43 @@
         channel.close();
     }
 
-    /** Returns whether another message may be decoded. */
-    private boolean canRead() {
-        return responses.size() < MAX_PIPELINED_COMMANDS && channel.isWritable();
+    /** Returns whether another message may be handled. */
+    private boolean mayHandle() {
+        return PipelinePolicy.mayHandle(responses.size()) && channel.isWritable();
+    }
+
+    /** Returns whether received bytes may be decoded: to handle a message, or to shed one. */
+    private boolean mayDecode() {
+        return mayHandle()
+                || channel.isWritable() && (readAhead.isOverLimit() || decoder.isDiscarding());
+    }
+
+    /** Returns whether a part of a message was received, or more of them. */
+    private boolean hasUndecodedInput() {
+        return decoder.isMidMessage() || !readAhead.isEmpty();
     }
 
     /**
-     * Resumes decoding in a later turn of the event loop. Decoding at once could call the policy
-     * while one of its methods is still running.
+     * Resumes decoding, and writes responses that the channel did not take before. Doing so at once
+     * could call the policy while one of its methods is still running. By a timer, the event loop
+     * reads from other connections before it resumes again.
      */
     void scheduleDecode() {
-        channel.eventLoop()
-                .execute(
-                        () -> {
-                            if (channel.isActive() && !closing) {
-                                decode();
-                            }
-                        });
+        if (decodeScheduled) {
+            return;
+        }
+        decodeScheduled = true;
+        channel.eventLoop().schedule(this::resumeDecode, 0, TimeUnit.NANOSECONDS);
+    }
+
+    private void resumeDecode() {
+        decodeScheduled = false;
+        if (channel.isActive()) {
+            flushResponses();
+            if (!closing) {
+                decode();
+            }
+        }
     }
 
     /** Handles a startup message: refuses encryption, accepts protocol version 3. */
@@ -294,6 +354,7 @@
     private void abandonMessage() {
         admission.release();
         decoder.release();
+        readAhead.clear();
     }
 
     /** Queues the response to a command that is not a req behind those of earlier commands. */
@@ -320,9 +381,11 @@
         recordProgress();
         channel.flush();
         if (responses.isEmpty()
-                && (closing || clientConnections.isShuttingDown() && !decoder.isMidMessage())) {
+                && (closing || clientConnections.isShuttingDown() && !hasUndecodedInput())) {
             flushAndClose();
-        } else if (!channel.config().isAutoRead()) {
+        } else if (!decoding
+                && !closing
+                && (!channel.config().isAutoRead() || hasUndecodedInput())) {
             scheduleDecode();
         }
     }
@@ -342,7 +405,7 @@
      * bytes are left to decode.
      */
     void closeIfIdle() {
-        if (responses.isEmpty() && (closing || !decoder.isMidMessage())) {
+        if (responses.isEmpty() && (closing || !hasUndecodedInput())) {
             flushAndClose();
         }
     }
@@ -359,7 +422,7 @@
             return new ClientConnectionPolicy.Activity(State.AWAITING_READER, lastProgressNs);
         }
         return new ClientConnectionPolicy.Activity(
-                decoder.isMidMessage() ? State.BUSY : State.IDLE, lastProgressNs);
+                hasUndecodedInput() ? State.BUSY : State.IDLE, lastProgressNs);
     }
 
     /**
--- a/sidecar/src/main/java/mulleinlever/sidecar/MessageMemory.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/MessageMemory.java
@@ -8,14 +8,20 @@
  *
  * @param requests the memory of messages of clients
  * @param responses the memory of messages of pods, and of responses that clients haven't taken
- * @param maxAdmissionWaitNs how long a client's message waits for memory before it is shed
+ * @param readAhead the memory of what clients send before their earlier commands have their
+ *     responses
+ * @param limits the limits on the memory of messages
  */
 record MessageMemory(
-        MessageMemoryLimiter requests, MessageMemoryLimiter responses, long maxAdmissionWaitNs) {
+        MessageMemoryLimiter requests,
+        MessageMemoryLimiter responses,
+        MemoryBudget readAhead,
+        MemoryLimits limits) {
     static MessageMemory of(MemoryLimits limits) {
         return new MessageMemory(
                 new MessageMemoryLimiter(new MemoryBudget(limits.requestBytes())),
                 new MessageMemoryLimiter(new MemoryBudget(limits.responseBytes())),
-                limits.maxAdmissionWaitNs());
+                new MemoryBudget(limits.readAheadBytes()),
+                limits);
     }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/PendingCommand.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PendingCommand.java
@@ -29,6 +29,9 @@
     /** The response; null until there is one. It is written after those of earlier commands. */
     ByteBuf response;
 
+    /** The number of commands in a row that get this response. */
+    int repeatCount = 1;
+
     /** Whether the req has its response or its client has disconnected. */
     boolean outcomeDecided;
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessages.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessages.java
@@ -23,6 +23,7 @@
             constantMessage(new byte[] {'I', 0, 0, 0, 4, 'Z', 0, 0, 0, 5, 'I'});
     private static final ByteBuf ENCRYPTION_REFUSED = constantMessage(new byte[] {'N'});
     private static final ByteBuf STARTUP_MESSAGE = buildStartupMessage();
+    private static final ByteBuf SHED_RESPONSE = buildShedResponse();
 
     private PostgresMessages() {}
 
@@ -77,6 +78,18 @@
         return constantMessage(bytes);
     }
 
+    private static ByteBuf buildShedResponse() {
+        ByteBuf response = errorResponse(TOO_MANY_CONNECTIONS, "shed: try again", 0, true);
+        byte[] bytes = new byte[response.readableBytes()];
+        response.readBytes(bytes);
+        return constantMessage(bytes);
+    }
+
+    /** Returns the response to a command that was shed before it was read as a req. */
+    static ByteBuf shedResponse() {
+        return SHED_RESPONSE.duplicate();
+    }
+
     /** Returns the response to a client's startup message. */
     static ByteBuf startupResponse() {
         return STARTUP_RESPONSE.duplicate();
--- a/sidecar/src/main/java/mulleinlever/sidecar/RequestAdmission.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/RequestAdmission.java
@@ -43,7 +43,7 @@
             Runnable onWaitTooLong) {
         this.reservation = new MessageReservation(memory.requests(), onReserved);
         this.eventLoop = eventLoop;
-        this.maxWaitNs = memory.maxAdmissionWaitNs();
+        this.maxWaitNs = memory.limits().maxAdmissionWaitNs();
         this.clock = clock;
         this.onWaitTooLong = onWaitTooLong;
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/ResponseQueue.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ResponseQueue.java
@@ -16,6 +16,9 @@
     /** The commands without a written response, in the order of their arrival. */
     private final ArrayDeque<PendingCommand> commands = new ArrayDeque<>();
 
+    /** The last command, if it stands for commands in a row that were shed; else null. */
+    private PendingCommand shedRun;
+
     /** The size of the responses that were written but not yet taken by the network. */
     private int unsentBytes;
 
@@ -32,6 +35,19 @@
     /** Adds a command behind those that were received before. */
     void add(PendingCommand command) {
         commands.add(command);
+        shedRun = null;
+    }
+
+    /** Adds a command that was shed. Any number of these in a row takes the memory of one. */
+    void addShed(ClientConnection client) {
+        if (shedRun != null) {
+            shedRun.repeatCount++;
+            return;
+        }
+        PendingCommand command = new PendingCommand(client, null);
+        command.response = PostgresMessages.shedResponse();
+        add(command);
+        shedRun = command;
     }
 
     boolean isEmpty() {
@@ -48,15 +64,35 @@
     }
 
     /**
-     * Writes the responses that are available, up to the first command without one. The caller
-     * flushes the channel.
+     * Writes the responses that are available, up to the first command without one. Of those to
+     * shed commands in a row no more are written than the channel takes. The caller flushes the
+     * channel.
      *
      * @return whether any was written
      */
     boolean writeAvailable() {
         boolean anyWritten = false;
         while (!commands.isEmpty() && commands.peek().response != null) {
-            write(commands.poll().response);
+            anyWritten |= writeRepeats(commands.peek());
+            if (commands.peek().repeatCount > 1) {
+                return anyWritten;
+            }
+            PendingCommand first = commands.poll();
+            shedRun = first == shedRun ? null : shedRun;
+            write(first.response);
+            anyWritten = true;
+        }
+        return anyWritten;
+    }
+
+    /**
+     * Writes all but the last of the responses to commands in a row, while the channel is writable.
+     */
+    private boolean writeRepeats(PendingCommand command) {
+        boolean anyWritten = false;
+        while (command.repeatCount > 1 && channel.isWritable()) {
+            command.repeatCount--;
+            write(command.response.retainedDuplicate());
             anyWritten = true;
         }
         return anyWritten;
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
@@ -58,7 +58,9 @@
         /** A message of a client waited for memory. */
         MEMORY_WAITED,
         /** A message of a client was shed for lack of memory. */
-        MEMORY_SHED
+        MEMORY_SHED,
+        /** A message was shed because its client had sent too much ahead. */
+        AHEAD_SHED
     }
 
     /**
--- a/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
@@ -133,6 +133,30 @@
         leaveAfterPipelining(100, () -> insertSql(value, 2500), false);
     }
 
+    // What a client sends beyond the limit of what is held is answered nevertheless, in order.
+    @Test
+    void eachPipelinedRequestIsAnsweredInOrder() throws Exception {
+        startPods(
+                (query, out) -> {
+                    Thread.sleep(20);
+                    return sendRow(out, query.replaceAll("(?s)[^']*'([^']*)'.*", "$1"));
+                });
+        startPatientSidecar();
+        int count = 20_000;
+        int[] number = new int[1];
+        Client client = pipeline(count, () -> selectSql("n" + number[0]++, 5000), new byte[0]);
+        int servedCount = 0;
+        for (int i = 0; i < count; i++) {
+            String answer = client.readResponse();
+            boolean served = answer.equals("TDn" + i + "C");
+            servedCount += served ? 1 : 0;
+            assertTrue(served || answer.startsWith("E53300"), i + ": " + answer);
+        }
+        assertTrue(servedCount >= 32, servedCount + " served");
+        assertEquals("TDlastC", client.execute(selectSql("last", 5000)));
+        client.close();
+    }
+
     // After Terminate nothing was read any more, so that the end behind it was not seen.
     @Test
     void nothingIsSentOnForClientThatSaidTerminateAndLeft() throws Exception {
