After Terminate or noise a connection is read on until its end

Callers saw: requests of clients that said Terminate, or sent what can't be read, behind their requests and then closed got further attempts for up to a second (rule on lost requests).

Cause: both mark the connection as due to close, and reading stopped with that, so that the end behind it was not seen. Evidence: 10 requests and Terminate: 30 attempts up to 1,024 ms after the close; with noise 30, up to 1,021 ms.

Change: while the connection waits for its last answers, what comes is read and dropped.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -140,9 +140,9 @@
             decoding = false;
         }
         decoder.releaseConsumedBytes();
-        boolean readsOn = !closing && channel.isWritable() && !admission.isWaiting();
-        updateIncompleteSince(readsOn && mayHandle(), anyMessage);
-        setReading(readsOn);
+        updateIncompleteSince(!closing && mayHandle() && !admission.isWaiting(), anyMessage);
+        // While the connection is due to close, what is read is dropped until its end is found.
+        setReading(closing || channel.isWritable() && !admission.isWaiting());
     }
 
     private void setReading(boolean reading) {
@@ -326,6 +326,7 @@
             case 'X' -> {
                 closing = true;
                 closeIfIdle();
+                abandonMessage();
             }
             default -> throw new InvalidInputException("no such command");
         }
