An id that may have run is remembered, so that it has no effect twice when it comes again

Callers saw: a keyed request whose client had left ran again when the same id came again: in another zone, or after the dedup window (no effect twice). Some second sendings were refused (53300), which promises that nothing ran.

Cause: the policy forgot a request with its client.

Change: ExecutionHistory keeps, by id, the first try that may have run of each ended request that may not simply be repeated. A second sending is bound to that try's dedup scope and window like a retry, and fails with XX000 where no pod would recognise it. It is kept for the longest time for which clients wait and the longest window after the end; its size follows the memory told. Idempotent requests are not remembered.

The random draws of the ordinary path are as before.

--- a/core/src/main/java/mulleinlever/MemoryLimits.java
+++ b/core/src/main/java/mulleinlever/MemoryLimits.java
@@ -7,10 +7,15 @@
  * @param responseBytes the budget for messages of pods and unread responses, in bytes
  * @param readAheadBytes the budget for what clients send before their earlier commands have their
  *     responses, in bytes
+ * @param rememberedReqs the number of ended reqs that are remembered by their ids
  * @param maxAdmissionWaitNs how long a client's message waits for memory before it is shed
  */
 public record MemoryLimits(
-        long requestBytes, long responseBytes, long readAheadBytes, long maxAdmissionWaitNs) {
+        long requestBytes,
+        long responseBytes,
+        long readAheadBytes,
+        int rememberedReqs,
+        long maxAdmissionWaitNs) {
     /** The share of the process's memory that network buffers may take. */
     private static final double NETWORK_SHARE = 0.2;
 
@@ -38,6 +43,12 @@
      */
     private static final long MAX_ADMISSION_WAIT_NS = 80_000_000L;
 
+    /** The memory outside the network buffers for the ids of ended reqs, as a share of these. */
+    private static final double REMEMBERED_REQS_SHARE = 0.1;
+
+    /** The memory that one remembered req takes, in bytes. */
+    private static final int REMEMBERED_REQ_BYTES = 256;
+
     /** The share of the budget for what is sent ahead that one connection may use. */
     private static final double CONNECTION_READ_AHEAD_SHARE = 0.25;
 
@@ -67,6 +78,7 @@
                 (long) (REQUEST_SHARE * networkBytes),
                 (long) (RESPONSE_SHARE * networkBytes),
                 (long) (READ_AHEAD_SHARE * networkBytes),
+                (int) (REMEMBERED_REQS_SHARE * networkBytes / REMEMBERED_REQ_BYTES),
                 Math.min(MAX_ADMISSION_WAIT_NS, (long) (ADMISSION_WAIT_SHARE * minObjectiveNs)));
     }
 }
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -352,6 +352,7 @@
     /** The reqs that lack an answer or have an open try, by id, in the order of their arrival. */
     private final Map<String, ReqState> openReqs = new LinkedHashMap<>();
 
+    private final ExecutionHistory executionHistory;
     private final ArrayDeque<ReqState> firstTryQueue = new ArrayDeque<>();
     private final ArrayDeque<ReqState> retryQueue = new ArrayDeque<>();
     private final ConcurrencyLimiter limiter;
@@ -409,6 +410,7 @@
                         settings.contract().drainGraceNs(),
                         settings.policyLimits().connectTimeoutNs());
         this.exposureBudget = new ExposureBudget(rollout, settings.routes().size());
+        this.executionHistory = ExecutionHistory.of(settings);
         for (Settings.RouteSettings routeSettings : settings.routes()) {
             routes.put(
                     routeSettings.name(),
@@ -578,7 +580,12 @@
      * must be one of the settings.
      */
     public void onReq(long nowNs, Req req) {
-        ReqState reqState = new ReqState(req, routes.get(req.route()), nowNs);
+        ReqState reqState =
+                new ReqState(
+                        req,
+                        routes.get(req.route()),
+                        nowNs,
+                        executionHistory.find(nowNs, req.id()));
         openReqs.put(req.id(), reqState);
         arrivals.add(nowNs, 1);
         limiter.recordDemand(
@@ -586,13 +593,32 @@
                 reqState.route.meanTryTimeNs(nowNs),
                 reqState.route.settings.latencyObjectiveNs());
         exposureBudget.accrue(rolloutStatus, reqState.route.index);
-        if (random.nextDouble() < shedProbability(nowNs, reqState)) {
+        if (reqState.earlierTry != null) {
+            sendAgain(nowNs, reqState);
+        } else if (random.nextDouble() < shedProbability(nowNs, reqState)) {
             shedOrFail(nowNs, reqState);
         } else {
             sendOrEnqueue(nowNs, reqState);
         }
     }
 
+    /**
+     * Sends a req that may have run under the same id before, where its first run is recognised;
+     * else fails it.
+     */
+    private void sendAgain(long nowNs, ReqState reqState) {
+        if (canRetry(nowNs, reqState)) {
+            sendOrEnqueue(nowNs, reqState);
+        } else {
+            shedOrFail(nowNs, reqState);
+        }
+    }
+
+    /** Limits the number of ended reqs that are remembered for the case that they come again. */
+    public void limitExecutionHistory(int maxReqs) {
+        executionHistory.limitEntries(maxReqs);
+    }
+
     /**
      * Returns the probability that an arriving req is shed; 0 or less for never. Reqs are shed at
      * random, those of lower value more often; a bound on the queue would turn away valuable reqs
@@ -625,7 +651,7 @@
         if (nowNs >= queueDeadlineNs(nowNs, reqState) && !sendTry(nowNs, reqState)) {
             shedOrFail(nowNs, reqState);
         } else if (nowNs < queueDeadlineNs(nowNs, reqState) && !sendTry(nowNs, reqState)) {
-            (reqState.tries.isEmpty() ? firstTryQueue : retryQueue).add(reqState);
+            (reqState.isUnsent() ? firstTryQueue : retryQueue).add(reqState);
         }
     }
 
@@ -665,7 +691,7 @@
                     || !blockedRoutes[reqState.route.index] && sendTry(nowNs, reqState)) {
                 queue.remove(reqState);
             } else {
-                blockedRoutes[reqState.route.index] |= reqState.tries.isEmpty();
+                blockedRoutes[reqState.route.index] |= reqState.isUnsent();
             }
         }
     }
@@ -764,7 +790,7 @@
         } else if (!reqState.answered && reqState.openTryNumbers.isEmpty()) {
             shedOrFail(nowNs, reqState);
         }
-        finishIfAnswered(reqState);
+        finishIfAnswered(nowNs, reqState);
         serveQueues(nowNs);
     }
 
@@ -793,7 +819,7 @@
         } else {
             actions.failReq(reqState.req.id());
         }
-        finishIfAnswered(reqState);
+        finishIfAnswered(nowNs, reqState);
     }
 
     /** Handles the loss of the client of a req. Unknown reqs are ignored. */
@@ -801,7 +827,7 @@
         ReqState reqState = openReqs.get(reqId);
         if (reqState != null) {
             reqState.answered = true;
-            finishIfAnswered(reqState);
+            finishIfAnswered(nowNs, reqState);
         }
     }
 
@@ -809,13 +835,14 @@
      * Cancels the open tries of an answered req where that is allowed, and removes the req once no
      * try is open.
      */
-    private void finishIfAnswered(ReqState reqState) {
+    private void finishIfAnswered(long nowNs, ReqState reqState) {
         if (reqState.answered && settings.policyLimits().canCancel() && !reqState.streaming) {
             reqState.openTryNumbers.stream()
                     .forEach(tryNumber -> actions.cancelTry(reqState.req.id(), tryNumber));
         }
         if (reqState.answered && reqState.openTryNumbers.isEmpty()) {
             openReqs.remove(reqState.req.id());
+            executionHistory.recordEnded(nowNs, reqState);
         }
     }
 
--- a/core/src/main/java/mulleinlever/ReqState.java
+++ b/core/src/main/java/mulleinlever/ReqState.java
@@ -12,6 +12,10 @@
     final RouteState route;
     final long arrivedNs;
     final long deadlineNs;
+
+    /** The first try that may have run of an earlier req with the same id; null if none did. */
+    final Try earlierTry;
+
     final List<Try> tries = new ArrayList<>(2);
 
     /** The numbers of the open tries; a try's number is its index in {@link #tries}. */
@@ -32,8 +36,9 @@
     /** Whether a try was cancelled to send the req to another pod, which has not happened yet. */
     boolean failoverPending;
 
-    ReqState(Req req, RouteState route, long nowNs) {
+    ReqState(Req req, RouteState route, long nowNs, Try earlierTry) {
         this.req = req;
+        this.earlierTry = earlierTry;
         this.route = route;
         this.arrivedNs = nowNs;
         this.deadlineNs = nowNs + req.expiresInNs();
@@ -52,10 +57,18 @@
 
     /** Returns the first try that may have run or may still run, or null if there is none. */
     Try firstTryThatMayHaveRun() {
+        if (earlierTry != null) {
+            return earlierTry;
+        }
         int tryNumber = triesNotRun.nextClearBit(0);
         return tryNumber < tries.size() ? tries.get(tryNumber) : null;
     }
 
+    /** Returns whether no try of the req was sent, nor of an earlier one with its id. */
+    boolean isUnsent() {
+        return tries.isEmpty() && earlierTry == null;
+    }
+
     boolean isWaitingForSingleTry() {
         return openTryNumbers.cardinality() == 1 && !answered && !streaming && !failoverPending;
     }
@@ -84,7 +97,8 @@
         return firstTryThatMayHaveRun() == null
                 || route.settings.retrySafety() == Settings.RetrySafety.IDEMPOTENT
                 || route.settings.retrySafety() == Settings.RetrySafety.DEDUPLICATED
-                        && route.settings.dedupScope() == Settings.DedupScope.ALL;
+                        && route.settings.dedupScope() == Settings.DedupScope.ALL
+                        && earlierTry == null;
     }
 
     /**
--- /dev/null
+++ b/core/src/test/java/mulleinlever/ExecutionHistoryTest.java
@@ -0,0 +1,117 @@
+package mulleinlever;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import mulleinlever.Settings.DedupScope;
+import mulleinlever.Settings.RetrySafety;
+import org.junit.jupiter.api.Test;
+
+/** Tests that a req that comes again under its id has no effect twice. */
+class ExecutionHistoryTest {
+    private static final long MS = PolicyHarness.MILLISECOND_NS;
+    private static final long TIMEOUT_NS = 2_000 * MS;
+    private static final int POD_COUNT = 12;
+
+    private static PolicyHarness withRoute(RetrySafety retrySafety, DedupScope dedupScope) {
+        Settings settings =
+                PolicyHarness.settings(
+                        Settings.VoteControl.SINGLE,
+                        false,
+                        0,
+                        false,
+                        false,
+                        List.of(PolicyHarness.route("put", retrySafety, dedupScope)),
+                        3,
+                        false);
+        return PolicyHarness.create(settings, 1).addPods(POD_COUNT, 1);
+    }
+
+    /** Sends a req whose client leaves while its try runs. Returns the number of the pod. */
+    private static int sendAndLeave(PolicyHarness harness, String reqId) {
+        harness.sendReq(reqId, "put", TIMEOUT_NS);
+        int pod = PolicyHarness.podNumber(harness.lastSent().podId());
+        harness.policy.onClientDisconnected(harness.nowNs, reqId);
+        harness.endTry(reqId, 0, TryOutcome.CANCELLED, 0);
+        return pod;
+    }
+
+    // A req was forgotten with its client, so that it ran again in another zone when it came again.
+    @Test
+    void deduplicatedReqComesAgainWithinItsScopeOnly() {
+        PolicyHarness harness = withRoute(RetrySafety.DEDUPLICATED, DedupScope.ZONE);
+        for (int i = 0; i < 40; i++) {
+            int firstPod = sendAndLeave(harness, "r" + i);
+            harness.advance(20 * MS);
+            harness.sendReq("r" + i, "put", TIMEOUT_NS);
+            assertEquals("r" + i, harness.lastSent().reqId());
+            int secondPod = PolicyHarness.podNumber(harness.lastSent().podId());
+            assertEquals(firstPod % 2, secondPod % 2, "zone");
+            harness.endTry("r" + i, 0, TryOutcome.OK, MS);
+        }
+    }
+
+    // After the dedup window pods don't recognise a repeat. A shed reply would promise that the req
+    // had no effect.
+    @Test
+    void deduplicatedReqFailsAfterItsWindow() {
+        PolicyHarness harness = withRoute(RetrySafety.DEDUPLICATED, DedupScope.ALL);
+        sendAndLeave(harness, "r");
+        harness.advance(300 * MS);
+        harness.sendReq("r", "put", TIMEOUT_NS);
+        assertEquals(1, harness.sentTries.size());
+        assertEquals("error", harness.finalAnswers.get("r"));
+    }
+
+    @Test
+    void reqThatMustNotBeRepeatedFailsWhenItComesAgain() {
+        PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
+        sendAndLeave(harness, "r");
+        harness.sendReq("r", "put", TIMEOUT_NS);
+        assertEquals(1, harness.sentTries.size());
+        assertEquals("error", harness.finalAnswers.get("r"));
+    }
+
+    @Test
+    void completedReqIsRememberedToo() {
+        PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
+        harness.sendReq("r", "put", TIMEOUT_NS);
+        harness.endTry("r", 0, TryOutcome.OK, MS);
+        harness.sendReq("r", "put", TIMEOUT_NS);
+        assertEquals(1, harness.sentTries.size());
+        assertEquals("error", harness.finalAnswers.get("r"));
+    }
+
+    @Test
+    void reqThatNeverRanComesAgainLikeANewOne() {
+        PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
+        harness.sendReq("r", "put", TIMEOUT_NS);
+        harness.policy.onClientDisconnected(harness.nowNs, "r");
+        harness.endTry("r", 0, TryOutcome.CONNECT_FAILED, 0);
+        harness.sendReq("r", "put", TIMEOUT_NS);
+        assertEquals(2, harness.sentTries.size());
+    }
+
+    @Test
+    void idempotentReqComesAgainLikeANewOne() {
+        PolicyHarness harness = withRoute(RetrySafety.IDEMPOTENT, DedupScope.ALL);
+        sendAndLeave(harness, "r");
+        harness.advance(1_000 * MS);
+        harness.sendReq("r", "put", TIMEOUT_NS);
+        assertEquals(2, harness.sentTries.size());
+    }
+
+    // The memory of ids must not grow with their number.
+    @Test
+    void oldestReqsAreForgottenAboveTheLimit() {
+        PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
+        harness.policy.limitExecutionHistory(10);
+        for (int i = 0; i < 11; i++) {
+            sendAndLeave(harness, "r" + i);
+        }
+        harness.sendReq("r10", "put", TIMEOUT_NS);
+        assertEquals(11, harness.sentTries.size());
+        harness.sendReq("r0", "put", TIMEOUT_NS);
+        assertEquals(12, harness.sentTries.size());
+    }
+}
--- a/core/src/test/java/mulleinlever/OpenTryLatenessDetectorTest.java
+++ b/core/src/test/java/mulleinlever/OpenTryLatenessDetectorTest.java
@@ -38,7 +38,8 @@
                         new ReqState(
                                 new Req("r" + i, "get", false, false, 2 * SECOND_NS, 0, -1, null),
                                 route,
-                                nowNs);
+                                nowNs,
+                                null);
                 req.addTry(new Try(null, nowNs - SECOND_NS, true, build, true));
                 req.endTry(0, TryOutcome.ERROR);
                 req.addTry(
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -80,6 +80,7 @@
                         releasePlatformClient,
                         log);
         policy = new Policy(settings, config.seed(), clock.nowNs(), policyActions);
+        policy.limitExecutionHistory(memory.limits().rememberedReqs());
         reqRegistry.setPolicy(policy);
         policyActions.setPolicy(policy);
         discoveryClient.setPolicy(policy);
