An id that comes again just after its client left waits for the end of its tries

Callers saw: an id that came again at once after its client had left was answered 42601, this id is in hand.

Cause: the registry keeps a request until its cancelled tries have ended, a task later; and the second sending may be read before the end of the first connection.

Change: the second sending is held until the first one's client is found to have left and its tries have ended.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ReqRegistry.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ReqRegistry.java
@@ -12,16 +12,34 @@
  * none of its tries is in flight. Called by the event loop only.
  */
 final class ReqRegistry {
+    private final NettyTransport transport;
     private final Clock clock;
     private final Map<String, PendingCommand> commandsById = new HashMap<>();
+
+    /** The reqs that wait until an abandoned one with the same id has been released. */
+    private final Map<String, Successor> successorsById = new HashMap<>();
+
     private final SidecarMetrics metrics;
     private Policy policy;
 
-    ReqRegistry(Clock clock, SidecarMetrics metrics) {
+    ReqRegistry(NettyTransport transport, Clock clock, SidecarMetrics metrics) {
+        this.transport = transport;
         this.clock = clock;
         this.metrics = metrics;
     }
 
+    /** A req that waits for its id, and who is to be told of the end of the wait. */
+    private record Successor(PendingCommand command, WaitListener listener) {}
+
+    /** Is told how the wait of a req for its id has ended. */
+    interface WaitListener {
+        /** Called when the req has been registered. */
+        void onRegistered(PendingCommand command);
+
+        /** Called when the earlier req with the id got its response, so that the id was in use. */
+        void onIdInUse(PendingCommand command);
+    }
+
     /** Sets the policy; called once, before the first req. */
     void setPolicy(Policy policy) {
         this.policy = policy;
@@ -37,12 +55,38 @@
      * req with the same id is in flight.
      */
     boolean register(PendingCommand command) {
-        boolean registered = commandsById.putIfAbsent(command.statement.id, command) == null;
-        if (registered) {
-            command.receivedNs = clock.nowNs();
-            metrics.increment(SidecarMetrics.Event.IN);
+        String id = command.statement.id;
+        command.receivedNs = clock.nowNs();
+        if (commandsById.containsKey(id) || successorsById.containsKey(id)) {
+            return false;
         }
-        return registered;
+        enter(command);
+        return true;
+    }
+
+    /**
+     * Lets a req wait until the earlier one with its id has been released because its client has
+     * disconnected. Returns false if another req waits for that already.
+     */
+    boolean awaitId(PendingCommand command, WaitListener listener) {
+        return successorsById.putIfAbsent(command.statement.id, new Successor(command, listener))
+                == null;
+    }
+
+    /** Returns whether a req waits for its id, and the earlier one with it has no outcome yet. */
+    boolean waitsForOpenReq(PendingCommand command) {
+        PendingCommand earlier = commandsById.get(command.statement.id);
+        return isWaiting(command) && earlier != null && !earlier.outcomeDecided;
+    }
+
+    private boolean isWaiting(PendingCommand command) {
+        Successor successor = successorsById.get(command.statement.id);
+        return successor != null && successor.command() == command;
+    }
+
+    private void enter(PendingCommand command) {
+        commandsById.put(command.statement.id, command);
+        metrics.increment(SidecarMetrics.Event.IN);
     }
 
     /** Returns the number of reqs without an outcome or with tries in flight. */
@@ -95,6 +139,7 @@
         }
         command.outcomeDecided = true;
         command.response = response;
+        rejectSuccessor(command);
         metrics.recordOutcome(command, event);
         command.client.flushResponses();
         releaseIfFinished(command);
@@ -105,6 +150,10 @@
      * yet.
      */
     void onClientDisconnected(PendingCommand command) {
+        if (commandsById.get(command.statement.id) != command) {
+            dropUnregistered(command);
+            return;
+        }
         if (!command.outcomeDecided) {
             command.outcomeDecided = true;
             metrics.recordOutcome(command, SidecarMetrics.Event.GONE);
@@ -113,12 +162,69 @@
         releaseIfFinished(command);
     }
 
-    /** Removes a req that has its outcome and no tries in flight, and releases its memory. */
+    /** Releases a req that was not registered, whose client has disconnected. */
+    private void dropUnregistered(PendingCommand command) {
+        removeSuccessor(command);
+        if (!command.outcomeDecided) {
+            command.outcomeDecided = true;
+            command.statement.text.release();
+        }
+    }
+
+    /** Ends the wait for the id of a req that has got its response. */
+    private void rejectSuccessor(PendingCommand answered) {
+        Successor successor = successorsById.remove(answered.statement.id);
+        if (successor != null) {
+            transport.execute(() -> successor.listener().onIdInUse(successor.command()));
+        }
+    }
+
+    /** Removes a req that waits for its id. Returns false if it doesn't wait. */
+    private boolean removeSuccessor(PendingCommand command) {
+        boolean waiting = isWaiting(command);
+        if (waiting) {
+            successorsById.remove(command.statement.id);
+        }
+        return waiting;
+    }
+
+    /**
+     * Removes a req that has its outcome and no tries in flight, and releases its memory. A req
+     * that waits for its id is registered then.
+     */
     private void releaseIfFinished(PendingCommand command) {
         if (command.outcomeDecided
                 && !command.hasTriesInFlight()
                 && commandsById.remove(command.statement.id, command)) {
             command.statement.text.release();
+            if (successorsById.containsKey(command.statement.id)) {
+                // The policy may be running, and must not be called again within that.
+                transport.execute(() -> enterSuccessor(command.statement.id));
+            }
         }
     }
+
+    private void enterSuccessor(String id) {
+        Successor successor = successorsById.remove(id);
+        if (successor != null) {
+            enter(successor.command());
+            successor.listener().onRegistered(successor.command());
+        }
+    }
+
+    /**
+     * Responds to a req that was not registered. Has no effect if it was registered meanwhile or
+     * its client has disconnected.
+     */
+    void respondUnregistered(PendingCommand command, ByteBuf response) {
+        removeSuccessor(command);
+        if (command.outcomeDecided || commandsById.get(command.statement.id) == command) {
+            response.release();
+            return;
+        }
+        command.outcomeDecided = true;
+        command.response = response;
+        command.statement.text.release();
+        command.client.flushResponses();
+    }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -55,7 +55,7 @@
                         clock,
                         metrics,
                         memory);
-        reqRegistry = new ReqRegistry(clock, metrics);
+        reqRegistry = new ReqRegistry(transport, clock, metrics);
         connectionPool =
                 new PodConnectionPool(
                         transport,
@@ -87,7 +87,7 @@
         releasePlatformClient.setPolicy(policy);
         discoveryClient.applyInitialList(config.initialPodList());
         policy.onRolloutStatus(clock.nowNs(), config.initialRolloutStatus());
-        queryHandler = new QueryHandler(settings, reqRegistry, policyActions);
+        queryHandler = new QueryHandler(settings, transport, clock, reqRegistry, policyActions);
     }
 
     /** Returns the handler for a new client connection. */
