A connection has a share of each turn of the event loop, and one flush for all it handles

Cause: each empty statement was answered with a flush of its own, one system call each; a read brings 170 of them, and a turn of the event loop handled up to four reads of each connection without a bound. So the turns were as long as the flood made them, and every other connection waited for them.

Change: what a connection handles in one go is flushed once. All connections that have more to handle than a turn has time for share 128 messages and 2 ms of it; each handles one at least, and goes on by a timer, so that others are read in between. While it has a backlog nothing more is read from it.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -50,6 +50,18 @@
     /** Whether {@link #decode} is running. */
     private boolean decoding;
 
+    /** Whether responses were written that are not flushed yet. */
+    private boolean flushDue;
+
+    /** The number of messages that were handled or shed in this turn of the event loop. */
+    private int messagesInTurn;
+
+    /** When the current or the last call of {@link #decode} began. */
+    private long decodeStartNs;
+
+    /** Whether there is more to decode than one turn of the event loop has time for. */
+    private boolean backlogged;
+
     /** Whether a call of {@link #resumeDecode} is due. */
     private boolean decodeScheduled;
 
@@ -109,12 +121,19 @@
             ((ByteBuf) msg).release();
             return;
         }
-        if (readAhead.isEmpty() && mayDecode()) {
+        if (readAhead.isEmpty() && mayDecode() && !backlogged) {
             decoder.addBytes((ByteBuf) msg);
         } else {
             readAhead.add((ByteBuf) msg);
         }
-        decode();
+        if (!backlogged) {
+            decode();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        messagesInTurn = 0;
     }
 
     /**
@@ -124,6 +143,7 @@
     private void decode() {
         boolean anyMessage = false;
         decoding = true;
+        decodeStartNs = clock.nowNs();
         try {
             while (!closing && nextMessage()) {
                 anyMessage = true;
@@ -139,10 +159,47 @@
         } finally {
             decoding = false;
         }
+        flushIfDue();
+        updateBacklog();
         decoder.releaseConsumedBytes();
         updateIncompleteSince(!closing && mayHandle() && !admission.isWaiting(), anyMessage);
         // While the connection is due to close, what is read is dropped until its end is found.
-        setReading(closing || channel.isWritable() && !admission.isWaiting());
+        setReading(closing || channel.isWritable() && !admission.isWaiting() && !backlogged);
+    }
+
+    private void flushIfDue() {
+        if (flushDue) {
+            flushDue = false;
+            channel.flush();
+        }
+    }
+
+    /** Goes on with what is left to decode in a later turn of the event loop. */
+    private void updateBacklog() {
+        boolean exceeded = !closing && hasUndecodedInput() && !hasTimeInTurn();
+        if (exceeded != backlogged) {
+            setBacklogged(exceeded);
+        }
+        if (exceeded) {
+            scheduleDecode();
+        }
+    }
+
+    private void setBacklogged(boolean newBacklogged) {
+        backlogged = newBacklogged;
+        if (newBacklogged) {
+            metrics.increment(SidecarMetrics.Event.TURN_EXCEEDED);
+            clientConnections.inputBacklog.add();
+        } else {
+            clientConnections.inputBacklog.remove();
+        }
+    }
+
+    private boolean hasTimeInTurn() {
+        return PipelinePolicy.hasTimeInTurn(
+                messagesInTurn,
+                messagesInTurn == 0 ? 0 : clock.nowNs() - decodeStartNs,
+                clientConnections.inputBacklog.connectionCount());
     }
 
     private void setReading(boolean reading) {
@@ -162,10 +219,11 @@
      * @throws InvalidInputException if it is none that a client may send
      */
     private boolean nextMessage() {
-        while (!closing && mayDecode()) {
+        while (!closing && mayDecode() && hasTimeInTurn()) {
             if (decoder.isDiscarding()) {
                 decoder.discardReceivedBytes();
                 if (!decoder.isDiscarding()) {
+                    messagesInTurn++;
                     respondShed();
                     continue;
                 }
@@ -177,6 +235,7 @@
                     continue;
                 }
                 if (decoder.readMessage()) {
+                    messagesInTurn++;
                     return true;
                 }
             }
@@ -287,6 +346,7 @@
 
     private void resumeDecode() {
         decodeScheduled = false;
+        messagesInTurn = 0;
         if (channel.isActive()) {
             flushResponses();
             if (!closing) {
@@ -380,7 +440,10 @@
             return;
         }
         recordProgress();
-        channel.flush();
+        flushDue = true;
+        if (!decoding) {
+            flushIfDue();
+        }
         if (responses.isEmpty()
                 && (closing || clientConnections.isShuttingDown() && !hasUndecodedInput())) {
             flushAndClose();
@@ -460,6 +523,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
+        if (backlogged) {
+            setBacklogged(false);
+        }
         if (!responses.isEmpty()) {
             metrics.recordClientLeft(
                     responses.size(),
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -23,6 +23,7 @@
     private final Clock clock;
     private final SidecarMetrics metrics;
     private final MessageMemory memory;
+    final InputBacklog inputBacklog = new InputBacklog();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
@@ -55,6 +55,10 @@
         MALFORMED,
         /** Reading from a client paused. */
         READ_PAUSED,
+        /**
+         * A client sent more messages than its connection handles in one turn of the event loop.
+         */
+        TURN_EXCEEDED,
         /** A message of a client waited for memory. */
         MEMORY_WAITED,
         /** A message of a client was shed for lack of memory. */
