Up to 16 connections are accepted in one turn of the event loop

Callers saw: beside a flood of ever new names, new clients waited 0.74 s to be accepted.

Cause: one connection was accepted in each turn, so that the number accepted in a second fell with the length of the turns. The bound was there so that no connection is accepted above the maximum number.

Change: up to 16 in a turn, and never more than there is room for.

StoppedClientsTest passes.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -14,6 +14,12 @@
  * event loop only.
  */
 final class ClientConnections {
+    /**
+     * The maximum number of connections that are accepted in one turn of the event loop, so that
+     * those that are open have their share of it.
+     */
+    private static final int MAX_ACCEPTS_PER_TURN = 16;
+
     /** How long accepting stays paused before another connection is looked for to close. */
     private static final long ACCEPT_RETRY_DELAY_NS = 10_000_000L;
 
@@ -54,6 +60,14 @@
     /** Sets the listening channel; called before the first connection is accepted. */
     void setListener(Channel listener) {
         this.listener = listener;
+        updateAcceptsPerTurn();
+    }
+
+    /** Limits the accepts of one turn so that the maximum number of connections is not passed. */
+    private void updateAcceptsPerTurn() {
+        int room = maxConnections - connections.size();
+        NettyTransport.setAcceptsPerTurn(
+                listener, Math.max(1, Math.min(MAX_ACCEPTS_PER_TURN, room)));
     }
 
     int connectionCount() {
@@ -67,6 +81,7 @@
      */
     void connectionOpened(ClientConnection opened) {
         connections.add(opened);
+        updateAcceptsPerTurn();
         if (connections.size() >= maxConnections) {
             listener.config().setAutoRead(false);
             metrics.increment(SidecarMetrics.Event.ACCEPT_PAUSED);
@@ -104,6 +119,7 @@
     /** Removes a connection, and resumes accepting below the maximum number. */
     void connectionClosed(ClientConnection closed) {
         connections.remove(closed);
+        updateAcceptsPerTurn();
         if (connections.size() < maxConnections && !listener.config().isAutoRead()) {
             cancelAcceptRetry();
             listener.config().setAutoRead(true);
--- a/sidecar/src/main/java/mulleinlever/sidecar/NettyTransport.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/NettyTransport.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
@@ -149,8 +150,7 @@
                 .group(eventLoop, eventLoop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-                // One accept in each turn of the event loop, so that no connection is accepted
-                // after accepting was paused.
+                // One accept in each turn of the event loop until setAcceptsPerTurn is called.
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1))
@@ -163,6 +163,12 @@
                 .bind(address);
     }
 
+    /** Sets the maximum number of connections that are accepted in one turn of the event loop. */
+    static void setAcceptsPerTurn(Channel listener, int maxAccepts) {
+        MaxMessagesRecvByteBufAllocator allocator = listener.config().getRecvByteBufAllocator();
+        allocator.maxMessagesPerRead(maxAccepts);
+    }
+
     /** Returns a handler that adds a supplied one to each new channel. */
     static ChannelHandler channelInitializer(Supplier<ChannelHandler> handlerSupplier) {
         return new ChannelInitializer<Channel>() {
