--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -602,6 +602,21 @@
         }
     }
 
+    /**
+     * Answers an arriving req without sending it: with a shed reply, unless an earlier one with its
+     * id may have run. The route must be one of the settings.
+     */
+    public void rejectReq(long nowNs, Req req) {
+        ReqState reqState =
+                new ReqState(
+                        req,
+                        routes.get(req.route()),
+                        nowNs,
+                        executionHistory.find(nowNs, req.id()));
+        openReqs.put(req.id(), reqState);
+        shedOrFail(nowNs, reqState);
+    }
+
     /**
      * Sends a req that may have run under the same id before, where its first run is recognised;
      * else fails it.
--- a/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
@@ -121,10 +121,13 @@
         return PostgresMessages.errorResponse(PostgresMessages.SYNTAX_ERROR, reason, 0, true);
     }
 
-    /** Hands a registered req to the policy, with the time that is left to it. */
+    /**
+     * Hands a registered req to the policy, with the time that is left to it. One whose client may
+     * have left is not to be sent.
+     */
     private void submit(PendingCommand command, long remainingNs) {
         Statement statement = command.statement;
-        policyActions.submitReq(
+        Req req =
                 new Req(
                         statement.id,
                         statement.route,
@@ -133,7 +136,12 @@
                         remainingNs,
                         0,
                         statement.key(),
-                        statement.tenant));
+                        statement.tenant);
+        if (command.client.mayHaveLeft()) {
+            policyActions.rejectReq(req);
+        } else {
+            policyActions.submitReq(req);
+        }
     }
 
     /**
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarPolicyActions.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarPolicyActions.java
@@ -49,6 +49,11 @@
         policy.onReq(clock.nowNs(), req);
     }
 
+    /** Has the policy answer a registered req that is not to be sent. */
+    void rejectReq(Req req) {
+        policy.rejectReq(clock.nowNs(), req);
+    }
+
     @Override
     public void startTry(String reqId, String podId, long writeWithinNs, long timeoutNs) {
         tryDispatcher.startTry(reqRegistry.find(reqId), podId, writeWithinNs, timeoutNs);
