Connections give way to new ones by the dozen, and up to 64 are accepted in a turn

Cause: at the maximum number of connections one was closed and one accepted in each turn of the event loop, so that the others waited in the listen backlog behind the crowd.

Change: at the maximum number 3% of the connections give way together, by the order as before; who has a response due stays. Up to 64 connections are accepted in one turn, as far as there is room.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -18,7 +18,13 @@
      * The maximum number of connections that are accepted in one turn of the event loop, so that
      * those that are open have their share of it.
      */
-    private static final int MAX_ACCEPTS_PER_TURN = 16;
+    private static final int MAX_ACCEPTS_PER_TURN = 64;
+
+    /**
+     * The share of the connections that are closed together in favor of new ones, so that more than
+     * one is accepted in a turn of the event loop.
+     */
+    private static final double EVICTED_SHARE = 0.03;
 
     /** How long accepting stays paused before another connection is looked for to close. */
     private static final long ACCEPT_RETRY_DELAY_NS = 10_000_000L;
@@ -87,27 +93,30 @@
             listener.config().setAutoRead(false);
             metrics.increment(SidecarMetrics.Event.ACCEPT_PAUSED);
             // In a later turn of the event loop, when all bytes that have arrived are read.
-            transport.execute(this::evictOne);
+            transport.execute(this::evictForNewConnections);
         }
     }
 
     /**
-     * Closes one connection if the maximum number is reached. Where none can be closed, tries again
+     * Closes connections if the maximum number is reached. Where none can be closed, tries again
      * after a delay, since connections become idle without any notification.
      */
-    private void evictOne() {
+    private void evictForNewConnections() {
         if (connections.size() < maxConnections) {
             return;
         }
-        ClientConnectionPolicy.selectForEviction(
-                        connections, ClientConnection::activity, clock.nowNs())
-                .ifPresent(
-                        selected -> {
-                            metrics.increment(SidecarMetrics.Event.EVICTED);
-                            selected.evict();
-                        });
+        int evictions = (int) Math.max(1, EVICTED_SHARE * maxConnections);
+        boolean anySelected = true;
+        while (anySelected && evictions > 0) {
+            Optional<ClientConnection> selected =
+                    ClientConnectionPolicy.selectForEviction(
+                            connections, ClientConnection::activity, clock.nowNs());
+            anySelected = selected.isPresent();
+            evictions--;
+            selected.ifPresent(this::evict);
+        }
         cancelAcceptRetry();
-        acceptRetryTask = transport.schedule(ACCEPT_RETRY_DELAY_NS, this::evictOne);
+        acceptRetryTask = transport.schedule(ACCEPT_RETRY_DELAY_NS, this::evictForNewConnections);
     }
 
     private void cancelAcceptRetry() {
@@ -151,8 +160,7 @@
             if (selected.isEmpty()) {
                 break;
             }
-            metrics.increment(SidecarMetrics.Event.EVICTED);
-            selected.get().evict();
+            evict(selected.get());
         }
         if (memory.responses().isShort()) {
             ClientConnectionPolicy.selectForResponseMemory(
@@ -165,6 +173,11 @@
         }
     }
 
+    private void evict(ClientConnection connection) {
+        metrics.increment(SidecarMetrics.Event.EVICTED);
+        connection.evict();
+    }
+
     /** Stops accepting and closes idle connections; the others close after their last response. */
     void shutDown() {
         listener.close();
--- a/sidecar/src/test/java/mulleinlever/sidecar/ClientMemoryTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientMemoryTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -153,14 +154,62 @@
                 });
     }
 
-    // Clients that don't read their answers counted as busy while they had requests in hand, and
-    // kept the memory of answers that all others needed.
+    // New clients were not accepted in time beside hundreds that sent requests at once, read no
+    // answers, and left no descriptors.
     @Test
     void othersAreServedBesideClientsThatReadNoAnswers() throws Exception {
+        startPods(longValue());
+        startSidecarWithLimit();
+        assertOthersAreServedBesideClientsThatDontRead(40);
+    }
+
+    // The same with more answers than the operating system keeps for a connection, so that they
+    // use up the sidecar's own memory.
+    @Test
+    void othersAreServedBesideClientsThatReadNoneOfManyAnswers() throws Exception {
+        startPods(longValue());
+        extraJvmFlags.add("-XX:MaxDirectMemorySize=16m");
+        startSidecarWithLimit();
+        assertOthersAreServedBesideClientsThatDontRead(400);
+    }
+
+    // Clients that keep the memory of all answers by taking none give it to others.
+    @Test
+    void clientsThatTakeNoAnswersGiveTheirMemoryToOthers() throws Exception {
+        startPods(longValue());
+        extraJvmFlags.add("-XX:MaxDirectMemorySize=16m");
+        configReplacements.put("\"aimNs\":500000000", "\"aimNs\":5000000000");
+        configReplacements.put("\"deadlineNs\":1500000000", "\"deadlineNs\":20000000000");
+        startSidecarWithLimit();
+        for (int i = 0; i < 8; i++) {
+            Client unread = new Client();
+            closeables.add(unread);
+            startDaemonThread(
+                    () -> {
+                        for (int j = 0; j < 2_000; j++) {
+                            unread.socket
+                                    .getOutputStream()
+                                    .write(queryMessage(newSelectSql("long", 20_000)));
+                        }
+                    });
+        }
+        Pattern memoryUsed = Pattern.compile("resp_mb=[2-9][.]");
+        awaitTrue(() -> memoryUsed.matcher(logText()).find());
+        TimeUnit.MILLISECONDS.sleep(2_000);
+        try (Client client = new Client()) {
+            for (int i = 0; i < 20; i++) {
+                assertTrue(client.execute(newSelectSql("long", 1_000)).startsWith("TD"), logText());
+            }
+        }
+    }
+
+    private static byte[] longValue() {
         byte[] value = new byte[60_000];
         Arrays.fill(value, (byte) 'x');
-        startPods(value);
-        startSidecarWithLimit();
+        return value;
+    }
+
+    private void assertOthersAreServedBesideClientsThatDontRead(int requestCount) throws Exception {
         Queue<Socket> unread = new ConcurrentLinkedQueue<>();
         assertOthersAreServedBeside(
                 number -> {
@@ -169,7 +218,7 @@
                     socket.setReceiveBufferSize(4096);
                     socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
                     socket.getOutputStream().write(startupMessage());
-                    for (int i = 0; i < 40; i++) {
+                    for (int i = 0; i < requestCount; i++) {
                         socket.getOutputStream().write(queryMessage(newSelectSql("long", 5000)));
                     }
                     TimeUnit.MILLISECONDS.sleep(TROUBLE_MS);
--- a/sidecar/src/test/java/mulleinlever/sidecar/ClientTraffic.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientTraffic.java
@@ -53,7 +53,11 @@
 
     private void execute(long dueNs) {
         sentCount.incrementAndGet();
-        try (SidecarTestBase.Client client = test.new Client()) {
+        long startedMs = (System.nanoTime() - dueNs) / 1_000_000;
+        try (SidecarTestBase.Client client = test.new Client(false)) {
+            long connectedMs = (System.nanoTime() - dueNs) / 1_000_000;
+            client.startUp();
+            long readyMs = (System.nanoTime() - dueNs) / 1_000_000;
             String answer = client.execute(test.newSelectSql("1", timeoutMs));
             long tookMs = (System.nanoTime() - dueNs) / 1_000_000;
             latenciesMs.add(tookMs);
@@ -61,7 +65,10 @@
                 servedCount.incrementAndGet();
             }
             if (tookMs > timeoutMs + ANSWER_SLACK_MS) {
-                lost.add(answer + " after " + tookMs + " ms");
+                lost.add(
+                        String.format(
+                                "%s after %d ms, started %d, connected %d, ready %d ms",
+                                answer, tookMs, startedMs, connectedMs, readyMs));
             }
         } catch (IOException e) {
             lost.add("no answer after " + (System.nanoTime() - dueNs) / 1_000_000 + " ms: " + e);
--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
@@ -504,11 +504,16 @@
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(10_000);
             if (sendsStartup) {
-                socket.getOutputStream().write(startupMessage());
-                while (!readMessage().equals("Z")) {}
+                startUp();
             }
         }
 
+        /** Sends the startup message and reads the response to it. */
+        void startUp() throws IOException {
+            socket.getOutputStream().write(startupMessage());
+            while (!readMessage().equals("Z")) {}
+        }
+
         void sendQuery(String text) throws IOException {
             socket.getOutputStream().write(queryMessage(text));
         }
