What is sent ahead is read in larger pieces, and short messages don't keep them

Callers saw: requests of clients that pipelined some thousand requests were refused as those of clients that may have left, although nobody else took the event loop's time (9,144 of 9,728 in one second).

Cause: what is sent ahead was read by the kilobyte, and not at all while a connection waited to be resumed after an answer, so that its end might have gone unseen.

Change: once something is held, reads have 8 KB; only a connection that exceeded its share of a turn is paused at 16 KB. A short message is copied out of a long buffer, since it would keep all of it for as long as it is in flight.

Without a test of its own.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -22,6 +22,9 @@
     /** The value of {@link #incompleteSinceNs} while the client owes no rest of a message. */
     private static final long NOT_INCOMPLETE = Long.MIN_VALUE;
 
+    /** The size of the buffers for what is read ahead. */
+    private static final int READ_AHEAD_READ_BYTES = 8 * 1024;
+
     /** The code of SSLRequest, in the place of a startup message's protocol version. */
     private static final int SSL_REQUEST_CODE = 80_877_103;
 
@@ -55,6 +58,9 @@
     /** The number of messages that were handled or shed in this turn of the event loop. */
     private int messagesInTurn;
 
+    /** Whether there is more to decode than a turn of the event loop had time for. */
+    private boolean turnExceeded;
+
     /** When the current or the last call of {@link #decode} began. */
     private long decodeStartNs;
 
@@ -97,7 +103,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         decoder = new PostgresMessageDecoder(ctx.alloc());
-        receiveBuffers = new MessageReceiveBufferAllocator(decoder::nextReadBytes);
+        receiveBuffers = new MessageReceiveBufferAllocator(this::nextReadBytes);
         channel.config().setRecvByteBufAllocator(receiveBuffers);
         inputEnd = new InputEndMonitor(clock);
         admission =
@@ -114,6 +120,12 @@
         clientConnections.connectionOpened(this);
     }
 
+    /** Returns the size of the buffer for the next read, in bytes. */
+    private int nextReadBytes() {
+        int decoderBytes = decoder.nextReadBytes();
+        return readAhead.isEmpty() ? decoderBytes : Math.max(decoderBytes, READ_AHEAD_READ_BYTES);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
         lastProgressNs = clock.nowNs();
@@ -226,6 +238,7 @@
         }
         if (!closing && hasUndecodedInput() && mayDecode() && !hasTimeInTurn()) {
             metrics.increment(SidecarMetrics.Event.TURN_EXCEEDED);
+            turnExceeded = true;
             scheduleDecode();
         }
         decoder.releaseConsumedBytes();
@@ -243,7 +256,7 @@
                 closing
                         || channel.isWritable()
                                 && !admission.isWaiting()
-                                && (!decodeScheduled || readAhead.hasRoomForBacklog()));
+                                && (!turnExceeded || readAhead.hasRoomForBacklog()));
     }
 
     private void flushIfDue() {
@@ -419,6 +432,7 @@
     /** Goes on with what is left to write and to decode. Called by the backlog. */
     void resumeDecode() {
         decodeScheduled = false;
+        turnExceeded = false;
         messagesInTurn = 0;
         if (channel.isActive()) {
             flushResponses();
--- a/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
@@ -26,6 +26,9 @@
     /** The maximum size of the buffer for the rest of a message. */
     private static final int MAX_READ_BYTES = 32 * 1024;
 
+    /** The maximum size of a buffer that messages keep whatever their own size. */
+    private static final int MAX_SHARED_BYTES = 2 * MIN_READ_BYTES;
+
     private final ByteBufAllocator allocator;
 
     /** The received bytes; null if there are none. */
@@ -180,8 +183,15 @@
         return buffer;
     }
 
-    /** Returns the body of the current message; the caller has to release it. */
+    /**
+     * Returns the body of the current message; the caller has to release it. A short one is copied
+     * out of a long buffer, of which it would keep all.
+     */
     ByteBuf retainBody() {
+        int capacityBytes = buffer.capacity();
+        if (capacityBytes > MAX_SHARED_BYTES && bodyLength < capacityBytes / 4) {
+            return allocator.buffer(bodyLength).writeBytes(buffer, bodyIndex, bodyLength);
+        }
         return buffer.retainedSlice(bodyIndex, bodyLength);
     }
 
