A startup message of more than 10,000 bytes is answered with an error at once

Cause: the limit for the longest query held for startup messages too, which have some dozens of bytes. PostgreSQL itself takes 10,000.

The new test failed before.

--- a/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
@@ -17,6 +17,9 @@
      */
     static final int MAX_MESSAGE_BYTES = 192 * 1024;
 
+    /** The maximum value of a startup message's length field, as in PostgreSQL itself. */
+    static final int MAX_STARTUP_MESSAGE_BYTES = 10_000;
+
     /** The size of the length field, which counts itself but not the type. */
     private static final int LENGTH_FIELD_BYTES = 4;
 
@@ -105,7 +108,8 @@
         }
         int start = buffer.readerIndex();
         int lengthBytes = buffer.getInt(start + typeBytes);
-        if (lengthBytes < LENGTH_FIELD_BYTES || lengthBytes > MAX_MESSAGE_BYTES) {
+        int maxBytes = hasType ? MAX_MESSAGE_BYTES : MAX_STARTUP_MESSAGE_BYTES;
+        if (lengthBytes < LENGTH_FIELD_BYTES || lengthBytes > maxBytes) {
             throw new InvalidInputException("a message of " + lengthBytes + " bytes");
         }
         headerBytes = typeBytes + LENGTH_FIELD_BYTES;
--- a/sidecar/src/test/java/mulleinlever/sidecar/ClientMemoryTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientMemoryTest.java
@@ -1,5 +1,6 @@
 package mulleinlever.sidecar;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -132,6 +133,25 @@
                 });
     }
 
+    // A startup message that is longer than any client's was waited for until its time was over.
+    @Test
+    void startupMessageThatIsTooLongEndsAtOnce() throws Exception {
+        startPods(new byte[1]);
+        startSidecarWithLimit();
+        var head = new ByteArrayOutputStream();
+        var out = new DataOutputStream(head);
+        out.writeInt(20_000);
+        out.writeInt(3 << 16);
+        long startNs = System.nanoTime();
+        try (Client client = new Client(false)) {
+            client.socket.getOutputStream().write(head.toByteArray());
+            assertEquals("E08P01", client.readMessage());
+            assertTrue(client.isClosedByPeer());
+        }
+        long tookMs = (System.nanoTime() - startNs) / 1_000_000;
+        assertTrue(tookMs < 1_000, "closed after " + tookMs + " ms");
+    }
+
     // Clients that stop in the middle of a long request, or write it slowly.
     @Test
     void othersAreServedBesideHalfAndSlowRequests() throws Exception {
