A client that ends its sending after Terminate still gets its answers

Cause: the end of the sending and the end of the connection look alike. Change: after Terminate or a message that can't be read, no further try begins once the sending has ended, but answers of those that run are written. Whether the client has left is found by writing: a ParameterStatus with the value it has already, which clients ignore, at once and after 2, 6, 14 ms and so on. If the client has left, the second write fails, and the tries are cancelled. An end without Terminate counts as a leave, as before.

A try that can't be written because its client may have left ends as moot, not as a failure of its pod.

Nothing is sent on for a client that closes after Terminate.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import mulleinlever.ClientConnectionPolicy;
@@ -25,6 +27,15 @@
     /** The size of the buffers for what is read ahead. */
     private static final int READ_AHEAD_READ_BYTES = 8 * 1024;
 
+    /**
+     * The time between the first two messages that show whether a client still reads. A reset by
+     * the client's machine arrives meanwhile.
+     */
+    private static final long FIRST_PROBE_INTERVAL_MS = 2;
+
+    /** The time between two such messages at which no more are written. */
+    private static final long MAX_PROBE_INTERVAL_MS = 1_000;
+
     /** The code of SSLRequest, in the place of a startup message's protocol version. */
     private static final int SSL_REQUEST_CODE = 80_877_103;
 
@@ -471,7 +482,7 @@
                         admission.waitedNs());
             }
             case 'X' -> {
-                closing = true;
+                endInput();
                 closeIfIdle();
                 abandonMessage();
             }
@@ -493,11 +504,20 @@
      * connection then.
      */
     private void respondAndClose(String code, String reason) {
-        closing = true;
+        endInput();
         abandonMessage();
         respond(PostgresMessages.errorResponse(code, reason, 0, false));
     }
 
+    /**
+     * Handles nothing more that the client sends. It may end its sending, and still read the
+     * responses that are due.
+     */
+    private void endInput() {
+        closing = true;
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+    }
+
     /** Releases the memory of the message that is being received. */
     private void abandonMessage() {
         admission.release();
@@ -605,6 +625,31 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            inputEnd.ended();
+            probeReader(FIRST_PROBE_INTERVAL_MS);
+        }
+    }
+
+    /**
+     * Finds out whether a client that has ended its sending still reads. If it has left, the second
+     * message that is written to it fails, which closes the channel.
+     *
+     * @param nextIntervalMs the time until the next message is written, which doubles each time
+     */
+    private void probeReader(long nextIntervalMs) {
+        if (channel.isActive() && nextIntervalMs < MAX_PROBE_INTERVAL_MS) {
+            channel.writeAndFlush(PostgresMessages.unchangedParameter());
+            channel.eventLoop()
+                    .schedule(
+                            () -> probeReader(2 * nextIntervalMs),
+                            nextIntervalMs,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (channel.isWritable()) {
--- a/sidecar/src/main/java/mulleinlever/sidecar/InputEndMonitor.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/InputEndMonitor.java
@@ -12,6 +12,9 @@
 
     private final Clock clock;
 
+    /** Whether the client has ended its sending. */
+    private boolean ended;
+
     /** Since when more may have arrived than was read. */
     private long unreadSinceNs = ALL_READ;
 
@@ -31,6 +34,11 @@
         }
     }
 
+    /** Records that the client has ended its sending; it may have left or still read. */
+    void ended() {
+        ended = true;
+    }
+
     boolean isAllRead() {
         return unreadSinceNs == ALL_READ;
     }
@@ -42,6 +50,6 @@
 
     /** Returns whether the client may have left so long ago that no try for it may begin. */
     boolean mayHaveLeft() {
-        return !isAllRead() && PipelinePolicy.mayHaveLeft(unseenNs());
+        return ended || !isAllRead() && PipelinePolicy.mayHaveLeft(unseenNs());
     }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessages.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessages.java
@@ -23,6 +23,7 @@
             constantMessage(new byte[] {'I', 0, 0, 0, 4, 'Z', 0, 0, 0, 5, 'I'});
     private static final ByteBuf ENCRYPTION_REFUSED = constantMessage(new byte[] {'N'});
     private static final ByteBuf STARTUP_MESSAGE = buildStartupMessage();
+    private static final ByteBuf UNCHANGED_PARAMETER = buildUnchangedParameter();
     private static final ByteBuf SHED_RESPONSE = buildShedResponse();
 
     private PostgresMessages() {}
@@ -54,10 +55,7 @@
         };
         ByteBuf response = Unpooled.buffer().writeBytes(new byte[] {'R', 0, 0, 0, 8, 0, 0, 0, 0});
         for (int i = 0; i < parameters.length; i += 2) {
-            byte[] parameterBytes =
-                    (parameters[i] + "\0" + parameters[i + 1] + "\0")
-                            .getBytes(StandardCharsets.US_ASCII);
-            response.writeByte('S').writeInt(4 + parameterBytes.length).writeBytes(parameterBytes);
+            writeParameterStatus(response, parameters[i], parameters[i + 1]);
         }
         response.writeBytes(new byte[] {'Z', 0, 0, 0, 5, 'I'});
         byte[] bytes = new byte[response.readableBytes()];
@@ -65,6 +63,24 @@
         return constantMessage(bytes);
     }
 
+    private static void writeParameterStatus(ByteBuf response, String name, String value) {
+        byte[] parameterBytes = (name + "\0" + value + "\0").getBytes(StandardCharsets.US_ASCII);
+        response.writeByte('S').writeInt(4 + parameterBytes.length).writeBytes(parameterBytes);
+    }
+
+    private static ByteBuf buildUnchangedParameter() {
+        ByteBuf message = Unpooled.buffer();
+        writeParameterStatus(message, "client_encoding", "UTF8");
+        byte[] bytes = new byte[message.readableBytes()];
+        message.readBytes(bytes);
+        return constantMessage(bytes);
+    }
+
+    /** Returns a ParameterStatus of the startup response once more, which clients ignore. */
+    static ByteBuf unchangedParameter() {
+        return UNCHANGED_PARAMETER.duplicate();
+    }
+
     private static ByteBuf buildStartupMessage() {
         byte[] parameterBytes =
                 "user\0web\0database\0orders\0\0".getBytes(StandardCharsets.US_ASCII);
--- a/sidecar/src/main/java/mulleinlever/sidecar/TryDispatcher.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/TryDispatcher.java
@@ -108,17 +108,18 @@
 
     /**
      * Writes the req of a try to a connection, or ends the try as {@link TryOutcome#CONNECT_FAILED}
-     * once its write deadline has passed, or if its client may have left. The client's text is
-     * forwarded as received, except that the value of the client's timeout, where there is one,
-     * becomes the time in milliseconds that remains until the try's deadline; the parts before and
-     * after that value are not copied.
+     * once its write deadline has passed, or as {@link TryOutcome#MOOT} if its client may have
+     * left. The client's text is forwarded as received, except that the value of the client's
+     * timeout, where there is one, becomes the time in milliseconds that remains until the try's
+     * deadline; the parts before and after that value are not copied.
      */
     void writeReq(UpstreamTry upstreamTry, PodConnection connection) {
-        if (clock.nowNs() > upstreamTry.writeDeadlineNs
-                || upstreamTry.command.client.mayHaveLeft()) {
+        boolean moot = upstreamTry.command.client.mayHaveLeft();
+        if (moot || clock.nowNs() > upstreamTry.writeDeadlineNs) {
+            TryOutcome outcome = moot ? TryOutcome.MOOT : TryOutcome.CONNECT_FAILED;
             upstreamTry.connection = null;
             connection.releaseUnused();
-            transport.execute(() -> endTry(upstreamTry, TryOutcome.CONNECT_FAILED));
+            transport.execute(() -> reqRegistry.onTryEnded(upstreamTry, outcome, null));
             return;
         }
         upstreamTry.connection = connection;
--- a/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
@@ -217,6 +217,24 @@
         assertNothingSentAfter(nowMs(), "Terminate");
     }
 
+    // A client that says Terminate and ends its sending may still read its answers.
+    @Test
+    void clientThatEndsItsSendingAfterTerminateIsAnswered() throws Exception {
+        startPods(
+                (query, out) -> {
+                    Thread.sleep(TURN_AWAY_AFTER_MS);
+                    return sendRow(out, "v");
+                });
+        startPatientSidecar();
+        Client client = pipeline(10, () -> selectSql("1", 5000), new byte[] {'X', 0, 0, 0, 4});
+        Thread.sleep(60);
+        client.socket.shutdownOutput();
+        for (int i = 0; i < 10; i++) {
+            assertEquals("TDvC", client.readResponse().replace("S", ""));
+        }
+        client.close();
+    }
+
     // After a message that could not be read, nothing was read any more either.
     @Test
     void nothingIsSentOnForClientThatSentNoiseAndLeft() throws Exception {
