After the process was held up, requests are written once all connections were read

Callers saw: a sidecar that was held up for 0.15 s sent on requests of clients that had closed in that time, over 0.1 s before (rule on lost requests).

Cause: what had arrived meanwhile was handled in the order in which the event loop found it: a request before the end behind it, an answer that turned one away before the end of its client's connection. After a pause the event loop may also run its timers first.

Change: EventLoopMonitor tells when the loop was held up by over 40 ms and has not read from all connections since. Until then a try is given its connection, and written 1 ms later unless its client has left. Its log line and figures are those that SidecarServer kept.

The new test failed before, in the first round. ProcessPauseTest passes.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -179,7 +179,7 @@
         if (!checkScheduled) {
             checkScheduled = true;
             int countBefore = readCount;
-            afterNextReads(() -> checkAllRead(countBefore));
+            clientConnections.runAfterNextReads(() -> checkAllRead(countBefore));
         }
     }
 
@@ -195,16 +195,6 @@
         }
     }
 
-    /** Runs a task after the event loop has read from all connections again. */
-    private void afterNextReads(Runnable task) {
-        // A timer set while reading runs in the same turn, one set by a timer in the next.
-        channel.eventLoop()
-                .schedule(
-                        () -> channel.eventLoop().schedule(task, 0, TimeUnit.NANOSECONDS),
-                        0,
-                        TimeUnit.NANOSECONDS);
-    }
-
     /** Returns whether the client may have left so long ago that no try for it may begin. */
     boolean mayHaveLeft() {
         boolean left = inputEnd.mayHaveLeft();
@@ -217,7 +207,7 @@
     /** Handles the message that has waited for memory, unless its client has left meanwhile. */
     private void memoryReserved() {
         setReading(true);
-        afterNextReads(this::scheduleDecode);
+        clientConnections.runAfterNextReads(this::scheduleDecode);
     }
 
     /**
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -77,6 +77,11 @@
                 listener, Math.max(1, Math.min(MAX_ACCEPTS_PER_TURN, room)));
     }
 
+    /** Runs a task after the event loop has read from all connections again. */
+    void runAfterNextReads(Runnable task) {
+        transport.runAfterNextReads(task);
+    }
+
     int connectionCount() {
         return connections.size();
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/NettyTransport.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/NettyTransport.java
@@ -74,6 +74,12 @@
                 loggingExceptions(task), Math.max(0, delayNs), TimeUnit.NANOSECONDS);
     }
 
+    /** Runs a task after the event loop has read from all connections again. */
+    void runAfterNextReads(Runnable task) {
+        // A timer set while reading runs in the same turn, one set by a timer in the next.
+        schedule(0, () -> schedule(0, task));
+    }
+
     /** Runs a task on the event loop repeatedly, for the first time after one period. */
     void scheduleAtFixedRate(long periodNs, Runnable task) {
         eventLoop.scheduleAtFixedRate(
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodConnection.java
@@ -117,10 +117,10 @@
     }
 
     /**
-     * Writes the try that waited for the end of the cooldown, unless the connection was closed or
-     * the try ended before.
+     * Writes the try that waited, such as for the end of the cooldown, unless the connection was
+     * closed or the try ended before.
      */
-    void cooldownEnded(UpstreamTry upstreamTry) {
+    void writeAfterDelay(UpstreamTry upstreamTry) {
         if (currentTry == upstreamTry && !tryActive && !closed) {
             connectionPool.removePending(this);
             tryDispatcher.writeReq(upstreamTry, this);
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodConnectionPool.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodConnectionPool.java
@@ -170,10 +170,15 @@
      */
     void awaitCooldown(UpstreamTry upstreamTry, PodConnection connection, long delayNs) {
         metrics.increment(SidecarMetrics.Event.RESTED);
+        delayWrite(upstreamTry, connection, delayNs);
+    }
+
+    /** Lets a connection write the req of a try after a delay, unless either has ended by then. */
+    void delayWrite(UpstreamTry upstreamTry, PodConnection connection, long delayNs) {
         upstreamTry.connection = connection;
         connection.setWaitingTry(upstreamTry);
         endpointsByPodId.get(connection.podId).pendingConnections.add(connection);
-        transport.schedule(delayNs, () -> connection.cooldownEnded(upstreamTry));
+        transport.schedule(delayNs, () -> connection.writeAfterDelay(upstreamTry));
     }
 
     /** Adds a connection to the idle ones, or closes it if the pod's address has changed. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -21,7 +21,8 @@
     final DiscoveryClient discoveryClient;
     final ReleasePlatformClient releasePlatformClient;
     final Policy policy;
-    final SidecarMetrics metrics;
+    final EventLoopMonitor eventLoopMonitor;
+    private final SidecarMetrics metrics;
     private final PodConnectionPool connectionPool;
     private final MessageMemory memory;
     private final NettyTransport transport;
@@ -56,6 +57,7 @@
                         metrics,
                         memory);
         reqRegistry = new ReqRegistry(transport, clock, metrics);
+        eventLoopMonitor = new EventLoopMonitor(transport, clock, metrics, reqRegistry, log);
         connectionPool =
                 new PodConnectionPool(
                         transport,
@@ -75,7 +77,8 @@
                         transport,
                         clock,
                         reqRegistry,
-                        new TryDispatcher(transport, clock, reqRegistry, connectionPool),
+                        new TryDispatcher(
+                                transport, clock, eventLoopMonitor, reqRegistry, connectionPool),
                         discoveryClient,
                         releasePlatformClient,
                         log);
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarServer.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarServer.java
@@ -38,12 +38,8 @@
     private static final long LIST_CHECK_INTERVAL_NS = 20 * MILLISECOND_NS;
     private static final long BIND_RETRY_DELAY_NS = 250 * MILLISECOND_NS;
     private static final int MAX_BIND_ATTEMPTS = 40;
-    private static final long LOOP_CHECK_INTERVAL_NS = 50 * MILLISECOND_NS;
     private static final long STALL_CHECK_INTERVAL_NS = 100 * MILLISECOND_NS;
 
-    /** The minimum delay of the event loop that is logged. */
-    private static final long LOGGED_LOOP_DELAY_NS = 50 * MILLISECOND_NS;
-
     private final SidecarConfig config;
 
     /** Null if persistence is off. */
@@ -60,8 +56,6 @@
     /** Null until {@link #createComponents}. */
     private SidecarComponents components;
 
-    private long lastLoopCheckNs;
-
     private SidecarServer(
             Map<String, String> env,
             SidecarConfig config,
@@ -169,8 +163,7 @@
         transport.scheduleAtFixedRate(SECOND_NS, components::runMaintenance);
         transport.scheduleAtFixedRate(
                 STALL_CHECK_INTERVAL_NS, components.clientConnections::closeStalled);
-        lastLoopCheckNs = clock.nowNs();
-        transport.scheduleAtFixedRate(LOOP_CHECK_INTERVAL_NS, this::checkLoopDelay);
+        components.eventLoopMonitor.start();
         listenWhenListConfirmed(exitCode);
     }
 
@@ -230,23 +223,6 @@
                 });
     }
 
-    /** Logs a delay of the event loop, by which all timeouts are late as well. */
-    private void checkLoopDelay() {
-        long nowNs = clock.nowNs();
-        long delayNs = nowNs - lastLoopCheckNs - LOOP_CHECK_INTERVAL_NS;
-        components.metrics.recordLoopDelay(delayNs);
-        if (delayNs > LOGGED_LOOP_DELAY_NS) {
-            log.info(
-                    "loop",
-                    "late by "
-                            + delayNs / MILLISECOND_NS
-                            + " ms, "
-                            + components.reqRegistry.inFlightCount()
-                            + " reqs in flight");
-        }
-        lastLoopCheckNs = nowNs;
-    }
-
     /**
      * Shuts down gracefully. This is the shutdown hook of the process, which exits when this
      * returns.
--- a/sidecar/src/main/java/mulleinlever/sidecar/TryDispatcher.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/TryDispatcher.java
@@ -17,18 +17,27 @@
      */
     private static final int HEADER_BYTES = 5;
 
+    /**
+     * How long a req isn't written after the event loop was held up. Meanwhile the ends of clients'
+     * connections are read.
+     */
+    private static final long HELD_UP_WRITE_DELAY_NS = 1_000_000L;
+
     private final NettyTransport transport;
     private final Clock clock;
+    private final EventLoopMonitor eventLoopMonitor;
     private final ReqRegistry reqRegistry;
     private final PodConnectionPool connectionPool;
 
     TryDispatcher(
             NettyTransport transport,
             Clock clock,
+            EventLoopMonitor eventLoopMonitor,
             ReqRegistry reqRegistry,
             PodConnectionPool connectionPool) {
         this.transport = transport;
         this.clock = clock;
+        this.eventLoopMonitor = eventLoopMonitor;
         this.reqRegistry = reqRegistry;
         this.connectionPool = connectionPool;
     }
@@ -122,6 +131,10 @@
             transport.execute(() -> reqRegistry.onTryEnded(upstreamTry, outcome, null));
             return;
         }
+        if (eventLoopMonitor.isHeldUp()) {
+            connectionPool.delayWrite(upstreamTry, connection, HELD_UP_WRITE_DELAY_NS);
+            return;
+        }
         upstreamTry.connection = connection;
         connection.setActiveTry(upstreamTry);
         Channel channel = connection.channel();
--- a/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
@@ -217,6 +217,71 @@
         assertNothingSentAfter(nowMs(), "Terminate");
     }
 
+    /** Sends requests at once, each of which needs a connection to a pod. */
+    private void openPodConnections(int count) throws IOException {
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            clients.add(new Client());
+        }
+        for (Client client : clients) {
+            client.sendQuery(selectSql("warm", 5000));
+        }
+        for (Client client : clients) {
+            client.readResponse();
+            client.close();
+        }
+    }
+
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+    }
+
+    // A process that was held up read a request, or an answer that turned one away, before the end
+    // of the client's connection that had arrived in the same time.
+    @Test
+    void nothingIsSentOnForClientThatLeftWhileTheProcessWasHeldUp() throws Exception {
+        startPods(
+                (query, out) -> {
+                    if (query.contains("'warm'")) {
+                        Thread.sleep(20);
+                        return sendRow(out, "v");
+                    }
+                    return turnAway(query, out);
+                });
+        startPatientSidecar();
+        for (int round = 0; round < 5; round++) {
+            List<Client> early = new ArrayList<>();
+            List<Client> late = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                early.add(new Client());
+                late.add(new Client());
+            }
+            openPodConnections(80);
+            attempts.clear();
+            long startMs = nowMs();
+            for (Client client : early) {
+                client.sendQuery(selectSql("1", 5000));
+            }
+            Thread.sleep(TURN_AWAY_AFTER_MS - 40);
+            signal("STOP");
+            for (Client client : late) {
+                client.sendQuery(selectSql("1", 5000));
+            }
+            Thread.sleep(50);
+            for (int i = 0; i < 10; i++) {
+                early.get(i).close();
+                late.get(i).close();
+            }
+            Thread.sleep(100);
+            signal("CONT");
+            Thread.sleep(2 * TURN_AWAY_AFTER_MS);
+            assertEquals(
+                    early.size(),
+                    attempts.size(),
+                    () -> "attempts since " + startMs + " ms: " + attempts + logText());
+        }
+    }
+
     // A client that says Terminate and ends its sending may still read its answers.
     @Test
     void clientThatEndsItsSendingAfterTerminateIsAnswered() throws Exception {
