One-way keys are remembered up to a limit that follows the memory told

Change: above the limit the oldest keys are dropped; it is a fifth of the network buffers at 128 bytes a key.

--- a/core/src/main/java/mulleinlever/MemoryLimits.java
+++ b/core/src/main/java/mulleinlever/MemoryLimits.java
@@ -8,6 +8,7 @@
  * @param readAheadBytes the budget for what clients send before their earlier commands have their
  *     responses, in bytes
  * @param rememberedReqs the number of ended reqs that are remembered by their ids
+ * @param rememberedKeys the number of one-way keys that are remembered
  * @param maxAdmissionWaitNs how long a client's message waits for memory before it is shed
  */
 public record MemoryLimits(
@@ -15,6 +16,7 @@
         long responseBytes,
         long readAheadBytes,
         int rememberedReqs,
+        int rememberedKeys,
         long maxAdmissionWaitNs) {
     /** The share of the process's memory that network buffers may take. */
     private static final double NETWORK_SHARE = 0.2;
@@ -49,6 +51,12 @@
     /** The memory that one remembered req takes, in bytes. */
     private static final int REMEMBERED_REQ_BYTES = 256;
 
+    /** The memory for one-way keys, as a share of the network buffers as well. */
+    private static final double REMEMBERED_KEYS_SHARE = 0.2;
+
+    /** The memory that one remembered key takes, in bytes. */
+    private static final int REMEMBERED_KEY_BYTES = 128;
+
     /** The share of the budget for what is sent ahead that one connection may use. */
     private static final double CONNECTION_READ_AHEAD_SHARE = 0.25;
 
@@ -79,6 +87,7 @@
                 (long) (RESPONSE_SHARE * networkBytes),
                 (long) (READ_AHEAD_SHARE * networkBytes),
                 (int) (REMEMBERED_REQS_SHARE * networkBytes / REMEMBERED_REQ_BYTES),
+                (int) (REMEMBERED_KEYS_SHARE * networkBytes / REMEMBERED_KEY_BYTES),
                 Math.min(MAX_ADMISSION_WAIT_NS, (long) (ADMISSION_WAIT_SHARE * minObjectiveNs)));
     }
 }
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -629,9 +629,15 @@
         }
     }
 
-    /** Limits the number of ended reqs that are remembered for the case that they come again. */
-    public void limitExecutionHistory(int maxReqs) {
+    /**
+     * Limits what is remembered by names that clients choose; called before the first req.
+     *
+     * @param maxReqs the number of ended reqs that are remembered for the case that they come again
+     * @param maxKeys the number of one-way keys
+     */
+    public void limitMemory(int maxReqs, int maxKeys) {
         executionHistory.limitEntries(maxReqs);
+        buildByKey.limitKeys(maxKeys);
     }
 
     /**
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -83,7 +83,7 @@
                         releasePlatformClient,
                         log);
         policy = new Policy(settings, config.seed(), clock.nowNs(), policyActions);
-        policy.limitExecutionHistory(memory.limits().rememberedReqs());
+        policy.limitMemory(memory.limits().rememberedReqs(), memory.limits().rememberedKeys());
         reqRegistry.setPolicy(policy);
         policyActions.setPolicy(policy);
         discoveryClient.setPolicy(policy);
