Soak: signals in series, clients that use their connections until the kill, crowds

The soak now suspends the process up to three times in a row, with reloads between; clients go on using their open connections after SIGTERM up to the earliest kill, 2.2 s with these routes; every third seed has a crowd of 40 clients that flood, stop half way, or leave with up to 200 requests unread, and no attempt for one that has left may begin 0.1 s later (and 0.1 s for the observer).

What was drawn before is drawn as before; the additions draw from a stream of their own. All earlier checks stay.

--- a/sidecar/src/test/java/mulleinlever/sidecar/SoakRun.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SoakRun.java
@@ -1,5 +1,6 @@
 package mulleinlever.sidecar;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -8,16 +9,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * A seeded run of a sidecar process with faults at the pods, discovery and the platform. The kind,
- * time and target of each fault are drawn from the seed. Violations of the invariants are
+ * A seeded run of a sidecar process with faults at the pods, discovery and the platform, with
+ * signals, and in some runs with a crowd of clients that send too much, stop half way, or leave.
+ * The kind, time and target of each fault are drawn from the seed. Violations of the invariants are
  * collected. Times are milliseconds of the monotonic clock since the start of the run.
  */
 final class SoakRun extends SidecarTestBase {
@@ -48,6 +53,20 @@
 
     private static final long NEVER_MS = Long.MAX_VALUE / 2;
 
+    /** The time after a client's close from which no attempt for it may begin. */
+    private static final long LEAVE_LIMIT_MS = 100;
+
+    /** The earliest time of SIGKILL after SIGTERM: the longest deadline of the routes and 0.7 s. */
+    private static final long KILL_AFTER_MS = 1_500 + 700;
+
+    /** One run in so many has a crowd of clients that send too much, stop half way, or leave. */
+    private static final int CROWD_SEED_INTERVAL = 3;
+
+    private static final int CROWD_SIZE = 40;
+
+    /** The first of the ids of the crowd. */
+    private static final long CROWD_IDS = 1L << 40;
+
     /** How discovery treats calls and watches. */
     private enum DiscoveryBehavior {
         HEALTHY,
@@ -101,6 +120,7 @@
             if (lifecycle.equals("draining")) {
                 return sendError(out, "53300");
             }
+            checkNotLeft(matcher.group(2), nowMs);
             recordExecution(matcher.group(2), matcher.group(3), nowMs);
             if (responseDelayMs > 0) {
                 Thread.sleep(responseDelayMs);
@@ -116,6 +136,19 @@
             return sendRow(out, matcher.group(1));
         }
 
+        /** Reports an attempt for a client that has closed its connection. */
+        private void checkNotLeft(String reqId, long nowMs) {
+            long leftMs = leftById.getOrDefault(reqId, NEVER_MS);
+            if (nowMs > leftMs + LEAVE_LIMIT_MS + OBSERVATION_SLACK_MS) {
+                addViolation(
+                        "lost: "
+                                + reqId
+                                + " was sent "
+                                + (nowMs - leftMs)
+                                + " ms after its client had left");
+            }
+        }
+
         /** Reports a put that ran again outside of its dedup scope or after its dedup window. */
         private void recordExecution(String reqId, String route, long nowMs) {
             long[] first = firstExecutions.computeIfAbsent(reqId, i -> new long[] {nowMs, index});
@@ -142,6 +175,19 @@
     /** Time and pod index of the first execution, by the ID of the req. */
     private final Map<String, long[]> firstExecutions = new ConcurrentHashMap<>();
 
+    /** When the client of a req closed its connection, by the ID of the req. */
+    private final Map<String, Long> leftById = new ConcurrentHashMap<>();
+
+    private final AtomicLong crowdIds = new AtomicLong(CROWD_IDS);
+
+    /** Draws what was added to the runs, so that the other faults of a seed stay the same. */
+    private final SplittableRandom additionalRandom;
+
+    private volatile long terminatedMs = NEVER_MS;
+
+    /** The IDs of the reqs that wait for their answers. */
+    private final Set<String> unansweredIds = ConcurrentHashMap.newKeySet();
+
     private final Queue<String> violations = new ConcurrentLinkedQueue<>();
     private final Queue<String> events = new ConcurrentLinkedQueue<>();
     private final AtomicInteger servedCount = new AtomicInteger();
@@ -164,6 +210,7 @@
     SoakRun(long seed) throws IOException {
         this.seed = seed;
         this.random = new SplittableRandom(seed);
+        this.additionalRandom = new SplittableRandom(~seed);
         this.folder = Files.createTempDirectory("soak");
         this.discovery = new FakeServer(this::serveList);
         for (int i = 0; i < POD_COUNT; i++) {
@@ -330,15 +377,80 @@
         closeConnections(discovery);
     }
 
-    /** Suspends the sidecar for 140 ms, which is less than the 150 ms that it has to allow for. */
+    /**
+     * Suspends the sidecar for 140 ms, which is less than the 150 ms that it has to allow for, up
+     * to three times, with a reload of the configuration between some.
+     */
     private void suspendProcess() throws Exception {
-        new ProcessBuilder("kill", "-STOP", "" + process.pid()).start().waitFor();
-        Thread.sleep(140);
-        new ProcessBuilder("kill", "-CONT", "" + process.pid()).start().waitFor();
+        for (int i = additionalRandom.nextInt(3); i >= 0; i--) {
+            signal("STOP");
+            Thread.sleep(140);
+            if (additionalRandom.nextBoolean()) {
+                signal("HUP");
+            }
+            signal("CONT");
+            Thread.sleep(300 + additionalRandom.nextInt(300));
+        }
+    }
+
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+    }
+
+    /** Runs one client of the crowd after the other, until the faults end. */
+    private void runCrowd(SplittableRandom crowdRandom) throws Exception {
+        while (elapsedMs() < FAULT_PHASE_MS) {
+            try (Client client = new Client()) {
+                runCrowdClient(client, crowdRandom);
+            } catch (IOException e) {
+                // The sidecar may close such a connection.
+            }
+            Thread.sleep(crowdRandom.nextInt(200));
+        }
+    }
+
+    private void runCrowdClient(Client client, SplittableRandom crowdRandom) throws Exception {
+        var out = client.socket.getOutputStream();
+        switch (crowdRandom.nextInt(4)) {
+            case 0 -> {
+                byte[] query = queryMessage(crowdSql());
+                out.write(query, 0, query.length / 2);
+                client.isClosedByPeer();
+            }
+            case 1 -> {
+                startDaemonThread(() -> client.socket.getInputStream().skip(Long.MAX_VALUE));
+                for (int i = 0; i < 2_000; i++) {
+                    out.write(queryMessage(""));
+                }
+            }
+            default -> {
+                List<String> ids = new ArrayList<>();
+                var batch = new ByteArrayOutputStream();
+                for (int i = 1 + crowdRandom.nextInt(200); i > 0; i--) {
+                    String sql = crowdSql();
+                    batch.write(queryMessage(sql));
+                    ids.add(sql.replaceAll(".*id=([0-9a-f]+).*", "$1"));
+                }
+                if (crowdRandom.nextBoolean()) {
+                    batch.write(new byte[] {'X', 0, 0, 0, 4});
+                }
+                out.write(batch.toByteArray());
+                Thread.sleep(crowdRandom.nextInt(150));
+                client.close();
+                long leftMs = elapsedMs();
+                ids.forEach(id -> leftById.put(id, leftMs));
+            }
+        }
+    }
+
+    private String crowdSql() {
+        return String.format(
+                "SELECT payload FROM entries WHERE ref = 'c' /* id=%016x,c=get,t=acme,d=1400 */",
+                crowdIds.incrementAndGet());
     }
 
     private void runClient(SplittableRandom clientRandom) throws Exception {
-        while (!stopped) {
+        while (!stopped && terminatedMs == NEVER_MS) {
             try (Client client = new Client()) {
                 while (!stopped) {
                     sendReq(client, clientRandom);
@@ -359,6 +471,7 @@
         long sentMs = elapsedMs();
         reqCount.incrementAndGet();
         String answer;
+        unansweredIds.add(id);
         try {
             answer =
                     client.execute(
@@ -379,10 +492,13 @@
                                             + " */");
         } catch (IOException e) {
             // The kill of the process closes its connections.
-            if (!stopped && sentMs > restartedMs) {
+            // After SIGTERM a close may cross a req.
+            if (!stopped && sentMs > restartedMs && sentMs < terminatedMs) {
                 addViolation("lost: no answer to " + id + ": " + e);
             }
             throw e;
+        } finally {
+            unansweredIds.remove(id);
         }
         long tookMs = elapsedMs() - sentMs;
         if (tookMs > clientTimeoutMs + ANSWER_SLACK_MS + OBSERVATION_SLACK_MS) {
@@ -407,6 +523,10 @@
                 SplittableRandom clientRandom = random.split();
                 startDaemonThread(() -> runClient(clientRandom));
             }
+            for (int i = 0; seed % CROWD_SEED_INTERVAL == 0 && i < CROWD_SIZE; i++) {
+                SplittableRandom crowdRandom = additionalRandom.split();
+                startDaemonThread(() -> runCrowd(crowdRandom));
+            }
             long outageStartMs = 1_000 + random.nextInt(4_000);
             while (elapsedMs() < FAULT_PHASE_MS) {
                 Thread.sleep(100 + random.nextInt(900));
@@ -437,9 +557,16 @@
                                 + RECOVERY_MS
                                 + " ms after the last fault");
             }
-            stopped = true;
+            // Clients go on using their connections until the kill, at its earliest.
+            terminatedMs = elapsedMs();
             process.destroy();
-            if (!process.waitFor(4, java.util.concurrent.TimeUnit.SECONDS)) {
+            process.waitFor(KILL_AFTER_MS, TimeUnit.MILLISECONDS);
+            if (process.isAlive()) {
+                unansweredIds.forEach(
+                        id -> addViolation("lost: no answer to " + id + " by the kill"));
+            }
+            stopped = true;
+            if (!process.waitFor(4_000 - KILL_AFTER_MS, TimeUnit.MILLISECONDS)) {
                 addViolation("still running 4 s after SIGTERM");
             }
             logText().lines().filter(l -> l.contains("fault")).limit(3).forEach(this::addViolation);
