A client whose messages wait for their share of the event loop is not taken for stopped

Found by reading the change: a connection in the backlog counted as one whose client has left a message incomplete, so that with a few hundred of them it could be closed in favor of new ones after 0.2 s, with one error for all its requests.

Change: the time of an incomplete message does not run while the connection waits to be resumed.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -243,7 +243,8 @@
             scheduleDecode();
         }
         decoder.releaseConsumedBytes();
-        updateIncompleteSince(!closing && mayHandle() && !admission.isWaiting(), anyMessage);
+        updateIncompleteSince(
+                !closing && !decodeScheduled && mayHandle() && !admission.isWaiting(), anyMessage);
         updateReading();
     }
 
