The end of the sending behind an undecoded Terminate is not taken for a leave

Cause: the end was found by reading on, before the Terminate ahead of it was decoded, and the connection was closed as that of a client that has left.

An end without Terminate closes the connection as before.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -36,6 +36,9 @@
     /** The time between two such messages at which no more are written. */
     private static final long MAX_PROBE_INTERVAL_MS = 1_000;
 
+    /** The size of the message Terminate, which has no body. */
+    private static final int TERMINATE_BYTES = 5;
+
     /** The code of SSLRequest, in the place of a startup message's protocol version. */
     private static final int SSL_REQUEST_CODE = 80_877_103;
 
@@ -245,6 +248,8 @@
         decoder.releaseConsumedBytes();
         updateIncompleteSince(
                 !closing && !decodeScheduled && mayHandle() && !admission.isWaiting(), anyMessage);
+        channel.config()
+                .setOption(ChannelOption.ALLOW_HALF_CLOSURE, closing || hasUndecodedInput());
         updateReading();
     }
 
@@ -619,9 +624,23 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
-            inputEnd.ended();
-            probeReader(FIRST_PROBE_INTERVAL_MS);
+            if (closing || endsWithTerminate()) {
+                inputEnd.ended();
+                probeReader(FIRST_PROBE_INTERVAL_MS);
+            } else {
+                channel.close();
+            }
+        }
+    }
+
+    /** Returns whether the last message that was received, and not decoded yet, is Terminate. */
+    private boolean endsWithTerminate() {
+        ByteBuf newest = readAhead.isEmpty() ? decoder.buffer() : readAhead.newest();
+        if (newest == null || newest.readableBytes() < TERMINATE_BYTES) {
+            return false;
         }
+        int start = newest.writerIndex() - TERMINATE_BYTES;
+        return newest.getByte(start) == 'X' && newest.getInt(start + 1) == TERMINATE_BYTES - 1;
     }
 
     /**
--- a/sidecar/src/main/java/mulleinlever/sidecar/InputEndMonitor.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/InputEndMonitor.java
@@ -7,13 +7,13 @@
  * all that was sent before has been read. Called by the event loop only.
  */
 final class InputEndMonitor {
-    /** The value of {@link #unreadSinceNs} while all that has arrived was read. */
+    /** In place of a time: all that has arrived was read, and the end was not found. */
     private static final long ALL_READ = Long.MIN_VALUE;
 
     private final Clock clock;
 
-    /** Whether the client has ended its sending. */
-    private boolean ended;
+    /** When the client ended its sending; {@link #ALL_READ} while it hasn't. */
+    private long endedNs = ALL_READ;
 
     /** Since when more may have arrived than was read. */
     private long unreadSinceNs = ALL_READ;
@@ -36,7 +36,7 @@
 
     /** Records that the client has ended its sending; it may have left or still read. */
     void ended() {
-        ended = true;
+        endedNs = clock.nowNs();
     }
 
     boolean isAllRead() {
@@ -50,6 +50,8 @@
 
     /** Returns whether the client may have left so long ago that no try for it may begin. */
     boolean mayHaveLeft() {
-        return ended || !isAllRead() && PipelinePolicy.mayHaveLeft(unseenNs());
+        boolean endedBefore =
+                endedNs != ALL_READ && PipelinePolicy.mayHaveLeft(clock.nowNs() - endedNs);
+        return endedBefore || !isAllRead() && PipelinePolicy.mayHaveLeft(unseenNs());
     }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/ReadAhead.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ReadAhead.java
@@ -82,6 +82,11 @@
         budgetExceeded &= !buffers.isEmpty();
     }
 
+    /** Returns the buffer with the newest bytes, without retaining it; null if there is none. */
+    ByteBuf newest() {
+        return buffers.peekLast();
+    }
+
     /** Releases all bytes. */
     void clear() {
         for (ByteBuf buffer = buffers.poll(); buffer != null; buffer = buffers.poll()) {
--- a/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
@@ -301,6 +301,31 @@
         client.close();
     }
 
+    // The end of the sending was found before the Terminate ahead of it was decoded, and taken for
+    // a
+    // leave.
+    @Test
+    void clientThatSendsAllAtOnceAndEndsItsSendingIsAnswered() throws Exception {
+        startPods((query, out) -> sendRow(out, "v"));
+        startPatientSidecar();
+        for (int count : new int[] {1, 10, 20, 30, 30, 30, 100}) {
+            try (Client client = new Client()) {
+                var bytes = new ByteArrayOutputStream();
+                for (int i = 0; i < count; i++) {
+                    bytes.write(queryMessage(selectSql("1", 5000)));
+                }
+                bytes.write(new byte[] {'X', 0, 0, 0, 4});
+                client.socket.getOutputStream().write(bytes.toByteArray());
+                client.socket.shutdownOutput();
+                for (int i = 0; i < count; i++) {
+                    String answer = client.readResponse().replace("S", "");
+                    // The policy may shed some of them, as it does without the end.
+                    assertTrue(answer.equals("TDvC") || answer.startsWith("E53300"), answer);
+                }
+            }
+        }
+    }
+
     // After a message that could not be read, nothing was read any more either.
     @Test
     void nothingIsSentOnForClientThatSentNoiseAndLeft() throws Exception {
