A read that doesn't fill its buffer is no sign that the end isn't behind it

Cause: a connection that had been paused was taken for read to its end as soon as a read left room in its buffer. The requests of that read were handled in the same turn of the event loop, and the end right behind them was found in the next.

Change: once more may have arrived than was read, only a turn of the event loop without a read from the connection shows that it has not ended.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -144,9 +144,6 @@
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
         lastProgressNs = clock.nowNs();
         readCount++;
-        if (((ByteBuf) msg).isWritable()) {
-            inputEnd.allRead();
-        }
         if (closing) {
             ((ByteBuf) msg).release();
             return;
@@ -166,17 +163,18 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         messagesInTurn = 0;
-        if (receiveBuffers.wasAllRead()) {
-            inputEnd.allRead();
-        } else {
+        if (!receiveBuffers.wasAllRead()) {
             inputEnd.moreUnread();
+        }
+        if (!inputEnd.isAllRead()) {
             scheduleCheckAllRead();
         }
     }
 
     /**
-     * Finds out whether anything is left to read, where the last read has filled its buffer:
+     * Finds out whether anything is left to read, where more may have arrived than was read:
      * nothing is if the event loop gets round to other connections and back without another read.
+     * The end may also be right behind a read that has not filled its buffer.
      */
     private void scheduleCheckAllRead() {
         if (!checkScheduled) {
