--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -148,10 +148,14 @@
 
         abstract void serve(Socket socket) throws Exception;
 
-        void resetOpen() throws IOException {
+        void resetOpen() {
             for (Socket socket : open) {
-                socket.setSoLinger(true, 0);
-                socket.close();
+                try {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                } catch (IOException e) {
+                    // It has ended meanwhile.
+                }
             }
         }
 
@@ -353,7 +357,7 @@
         }
 
         /** Ends watches; from now on calls end in 503. */
-        void goDown() throws IOException {
+        void goDown() {
             down = true;
             resetOpen();
         }
