--- a/review/src-2/DrainAtReturn.java
+++ b/review/src-2/DrainAtReturn.java
@@ -11,7 +11,7 @@
 final class DrainAtReturn {
     private static final int SIDECARS = 3;
     private static final int PODS = 12;
-    private static final double RATE = 60;
+    private static final double RATE = 120;
     private static final int GRACE_MS = 500;
 
     /** What the page on sockets adds to every time limit. */
@@ -66,8 +66,8 @@
         }
         AtomicInteger[] answers = {new AtomicInteger(), new AtomicInteger(), new AtomicInteger()};
         for (Rig.Sidecar sidecar : sidecars) {
-            for (int i = 0; i < 20; i++) {
-                Rig.thread(() -> client(sidecar.port, RATE / 20, answers));
+            for (int i = 0; i < 40; i++) {
+                Rig.thread(() -> client(sidecar.port, RATE / 40, answers));
             }
         }
         Rig.sleep(10_000);
