--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -523,9 +523,10 @@
             out.write(message('Q', (text + "\0").getBytes(StandardCharsets.ISO_8859_1)));
         }
 
-        /** Reads one answer, up to ReadyForQuery. */
+        /** Reads one answer, up to ReadyForQuery or, if it is whole before, the end of the connection. */
         Answer receive() throws IOException {
             Answer answer = new Answer("none", "");
+            boolean whole = false;
             try {
                 while (true) {
                     int type = in.readByte();
@@ -536,6 +537,9 @@
                     } else if (type == 'E') {
                         int start = text.indexOf("\0C") + 2;
                         answer = new Answer(text.substring(start, start + 5), text);
+                        whole = true;
+                    } else if (type == 'C') {
+                        whole = answer.kind().equals("row");
                     } else if (type == 'I') {
                         answer = new Answer("empty", "");
                     } else if (type == 'Z') {
@@ -543,7 +547,7 @@
                     }
                 }
             } catch (EOFException e) {
-                return new Answer("closed", answer.kind());
+                return whole ? answer : new Answer("closed", answer.kind());
             }
         }
 
