--- a/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ClientLeaveTest.java
@@ -232,10 +232,6 @@
         }
     }
 
-    private void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
-    }
-
     // A process that was held up read a request, or an answer that turned one away, before the end
     // of the client's connection that had arrived in the same time.
     @Test
--- a/sidecar/src/test/java/mulleinlever/sidecar/ProcessPauseTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ProcessPauseTest.java
@@ -1,6 +1,5 @@
 package mulleinlever.sidecar;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -28,14 +27,6 @@
 
     ProcessPauseTest() throws IOException {}
 
-    private void signal(String name) throws Exception {
-        assertEquals(
-                0,
-                new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
-                        .start()
-                        .waitFor());
-    }
-
     private static String reqId(String query) {
         Matcher matcher = REQ_ID.matcher(query);
         assertTrue(matcher.find(), query);
--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
@@ -393,10 +393,18 @@
         }
     }
 
+    /** Sends a signal to the sidecar, by its name without {@code SIG}. */
+    void signal(String name) throws Exception {
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
+                        .start()
+                        .waitFor());
+    }
+
     /** Sends SIGHUP, on which the sidecar reloads its configuration. */
     void sendSighup() throws Exception {
-        assertEquals(
-                0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+        signal("HUP");
     }
 
     /** Starts the sidecar and waits until it serves clients. */
--- a/sidecar/src/test/java/mulleinlever/sidecar/SoakRun.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SoakRun.java
@@ -393,7 +393,9 @@
         }
     }
 
-    private void signal(String name) throws Exception {
+    /** Sends a signal; the process may have ended just before. */
+    @Override
+    void signal(String name) throws Exception {
         new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
     }
 
