Remember reqs that may have run by hashes of their ids, in a bounded number of bytes

Callers saw the process end with exit code 3, out of heap, some seconds after a few clients had begun to send requests with ids of 60,000 bytes on a route that may not be repeated; 14 to 22 requests of other clients were never answered.

Cause: ExecutionHistory kept each id as text for the longest timeout and window. Its limit counted entries at 256 bytes each, whatever their size.

Each entry has the same size, and the limit is told in bytes: a quarter of the network buffers, at most a tenth of the heap.

The log's count line tells the number as remembered=.

--- a/core/src/main/java/mulleinlever/MemoryLimits.java
+++ b/core/src/main/java/mulleinlever/MemoryLimits.java
@@ -7,7 +7,8 @@
  * @param responseBytes the budget for messages of pods and unread responses, in bytes
  * @param readAheadBytes the budget for what clients send before their earlier commands have their
  *     responses, in bytes
- * @param rememberedReqs the number of ended reqs that are remembered by their ids
+ * @param executionHistoryBytes the budget for what is remembered of ended reqs, in bytes of the
+ *     heap
  * @param rememberedKeys the number of one-way keys that are remembered
  * @param maxAdmissionWaitNs how long a client's message waits for memory before it is shed
  */
@@ -15,7 +16,7 @@
         long requestBytes,
         long responseBytes,
         long readAheadBytes,
-        int rememberedReqs,
+        long executionHistoryBytes,
         int rememberedKeys,
         long maxAdmissionWaitNs) {
     /** The share of the process's memory that network buffers may take. */
@@ -45,11 +46,11 @@
      */
     private static final long MAX_ADMISSION_WAIT_NS = 80_000_000L;
 
-    /** The memory outside the network buffers for the ids of ended reqs, as a share of these. */
-    private static final double REMEMBERED_REQS_SHARE = 0.1;
+    /** The memory for what is remembered of ended reqs, as a share of the network buffers. */
+    private static final double EXECUTION_HISTORY_SHARE = 0.25;
 
-    /** The memory that one remembered req takes, in bytes. */
-    private static final int REMEMBERED_REQ_BYTES = 256;
+    /** The maximum share of the heap for what is remembered of ended reqs. */
+    private static final double EXECUTION_HISTORY_HEAP_SHARE = 0.1;
 
     /** The memory for one-way keys, as a share of the network buffers as well. */
     private static final double REMEMBERED_KEYS_SHARE = 0.2;
@@ -69,9 +70,11 @@
      * Returns the limits of a process.
      *
      * @param maxDirectBytes the maximum memory outside the heap, in bytes
+     * @param maxHeapBytes the maximum memory of the heap, in bytes
      * @param maxProcessBytes the maximum memory of the process in bytes; 0 if it is not known
      */
-    public static MemoryLimits of(long maxDirectBytes, long maxProcessBytes, Settings settings) {
+    public static MemoryLimits of(
+            long maxDirectBytes, long maxHeapBytes, long maxProcessBytes, Settings settings) {
         double networkBytes =
                 maxProcessBytes > 0
                         ? Math.min(maxDirectBytes, NETWORK_SHARE * maxProcessBytes)
@@ -86,7 +89,10 @@
                 (long) (REQUEST_SHARE * networkBytes),
                 (long) (RESPONSE_SHARE * networkBytes),
                 (long) (READ_AHEAD_SHARE * networkBytes),
-                (int) (REMEMBERED_REQS_SHARE * networkBytes / REMEMBERED_REQ_BYTES),
+                (long)
+                        Math.min(
+                                EXECUTION_HISTORY_SHARE * networkBytes,
+                                EXECUTION_HISTORY_HEAP_SHARE * maxHeapBytes),
                 (int) (REMEMBERED_KEYS_SHARE * networkBytes / REMEMBERED_KEY_BYTES),
                 Math.min(MAX_ADMISSION_WAIT_NS, (long) (ADMISSION_WAIT_SHARE * minObjectiveNs)));
     }
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -410,7 +410,7 @@
                         settings.contract().drainGraceNs(),
                         settings.policyLimits().connectTimeoutNs());
         this.exposureBudget = new ExposureBudget(rollout, settings.routes().size());
-        this.executionHistory = ExecutionHistory.of(settings);
+        this.executionHistory = ExecutionHistory.of(settings, seed);
         for (Settings.RouteSettings routeSettings : settings.routes()) {
             routes.put(
                     routeSettings.name(),
@@ -632,11 +632,12 @@
     /**
      * Limits what is remembered by names that clients choose; called before the first req.
      *
-     * @param maxReqs the number of ended reqs that are remembered for the case that they come again
+     * @param maxHistoryBytes the memory, in bytes, in which ended reqs are remembered for the case
+     *     that they come again
      * @param maxKeys the number of one-way keys
      */
-    public void limitMemory(int maxReqs, int maxKeys) {
-        executionHistory.limitEntries(maxReqs);
+    public void limitMemory(long maxHistoryBytes, int maxKeys) {
+        executionHistory.limitMemory(maxHistoryBytes);
         buildByKey.limitKeys(maxKeys);
     }
 
@@ -1541,6 +1542,8 @@
      * @param leasedPodCount the number of ready pods that the lease allows
      * @param slowStartPodCount the number of pods in slow start
      * @param unreachablePodCount the number of pods in unreachable zones
+     * @param rememberedReqCount the number of ended reqs that are remembered since they may have
+     *     run
      */
     public record Stats(
             double tryLimit,
@@ -1552,7 +1555,8 @@
             int leasedPodCount,
             long healthyPodCount,
             long slowStartPodCount,
-            long unreachablePodCount) {}
+            long unreachablePodCount,
+            int rememberedReqCount) {}
 
     /** Returns the current figures for the log. */
     public Stats stats(long nowNs) {
@@ -1566,7 +1570,8 @@
                 leasedPods.all().size(),
                 leasedPods.count(p -> isHealthy(nowNs, p)),
                 leasedPods.count(p -> isInSlowStart(nowNs, p)),
-                leasedPods.count(Policy::isUnreachable));
+                leasedPods.count(Policy::isUnreachable),
+                executionHistory.size());
     }
 
     // ---- Learned state across restarts
--- /dev/null
+++ b/core/src/main/java/mulleinlever/SipHash.java
@@ -0,0 +1,82 @@
+package mulleinlever;
+
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+
+/**
+ * The keyed hash function SipHash-2-4 with results of 64 bits (Jean-Philippe Aumasson and Daniel J.
+ * Bernstein, "SipHash: a fast short-input PRF", 2012). Who doesn't know the key can't choose inputs
+ * with the same hash. Immutable.
+ */
+public final class SipHash {
+    private static final int BLOCK_BYTES = Long.BYTES;
+    private static final int COMPRESSION_ROUNDS = 2;
+    private static final int FINALIZATION_ROUNDS = 4;
+
+    private final long key0;
+    private final long key1;
+
+    /** Creates a hash function with the key that consists of the two given halves. */
+    public SipHash(long key0, long key1) {
+        this.key0 = key0;
+        this.key1 = key1;
+    }
+
+    /** The internal state of one computation. */
+    private static final class State {
+        private long v0;
+        private long v1;
+        private long v2;
+        private long v3;
+
+        State(long key0, long key1) {
+            v0 = key0 ^ 0x736f6d6570736575L;
+            v1 = key1 ^ 0x646f72616e646f6dL;
+            v2 = key0 ^ 0x6c7967656e657261L;
+            v3 = key1 ^ 0x7465646279746573L;
+        }
+
+        private void runRounds(int count) {
+            for (int i = 0; i < count; i++) {
+                v0 += v1;
+                v2 += v3;
+                v1 = Long.rotateLeft(v1, 13) ^ v0;
+                v3 = Long.rotateLeft(v3, 16) ^ v2;
+                v0 = Long.rotateLeft(v0, 32);
+                v2 += v1;
+                v0 += v3;
+                v1 = Long.rotateLeft(v1, 17) ^ v2;
+                v3 = Long.rotateLeft(v3, 21) ^ v0;
+                v2 = Long.rotateLeft(v2, 32);
+            }
+        }
+
+        void addBlock(long block) {
+            v3 ^= block;
+            runRounds(COMPRESSION_ROUNDS);
+            v0 ^= block;
+        }
+
+        long finish() {
+            v2 ^= 0xff;
+            runRounds(FINALIZATION_ROUNDS);
+            return v0 ^ v1 ^ v2 ^ v3;
+        }
+    }
+
+    /** Returns the hash of the given bytes. */
+    public long hash(byte[] bytes) {
+        State state = new State(key0, key1);
+        ByteBuffer input = ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
+        while (input.remaining() >= BLOCK_BYTES) {
+            state.addBlock(input.getLong());
+        }
+        // The last block holds the remaining bytes and, in its highest byte, the length.
+        long lastBlock = (long) bytes.length << Long.SIZE - Byte.SIZE;
+        for (int shift = 0; input.hasRemaining(); shift += Byte.SIZE) {
+            lastBlock |= (long) (input.get() & 0xff) << shift;
+        }
+        state.addBlock(lastBlock);
+        return state.finish();
+    }
+}
--- a/core/src/test/java/mulleinlever/ExecutionHistoryTest.java
+++ b/core/src/test/java/mulleinlever/ExecutionHistoryTest.java
@@ -105,7 +105,7 @@
     @Test
     void oldestReqsAreForgottenAboveTheLimit() {
         PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
-        harness.policy.limitMemory(10, 10);
+        harness.policy.limitMemory(10 * ExecutionHistory.ENTRY_BYTES, 10);
         for (int i = 0; i < 11; i++) {
             sendAndLeave(harness, "r" + i);
         }
--- a/lab/src/main/java/mulleinlever/lab/FleetLog.java
+++ b/lab/src/main/java/mulleinlever/lab/FleetLog.java
@@ -50,6 +50,7 @@
                     "fit",
                     "cold",
                     "dark",
+                    "remembered",
                     "ease",
                     "list_age",
                     "pool_mb",
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -46,6 +46,7 @@
                 MessageMemory.of(
                         MemoryLimits.of(
                                 NettyTransport.maxDirectBytes(),
+                                Runtime.getRuntime().maxMemory(),
                                 config.maxMemoryBytes(),
                                 settings));
         clientConnections =
@@ -83,7 +84,8 @@
                         releasePlatformClient,
                         log);
         policy = new Policy(settings, config.seed(), clock.nowNs(), policyActions);
-        policy.limitMemory(memory.limits().rememberedReqs(), memory.limits().rememberedKeys());
+        policy.limitMemory(
+                memory.limits().executionHistoryBytes(), memory.limits().rememberedKeys());
         reqRegistry.setPolicy(policy);
         policyActions.setPolicy(policy);
         discoveryClient.setPolicy(policy);
--- a/sidecar/src/test/java/mulleinlever/sidecar/RememberedRequestsTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/RememberedRequestsTest.java
@@ -21,6 +21,10 @@
     private static final int POD_COUNT = 14;
     private static final int FLOODING_CLIENT_COUNT = 12;
     private static final int FLOOD_MS = 8_000;
+
+    /** Within the time for which a client may wait, which is 5 s on the route. */
+    private static final int SEND_AGAIN_MS = 3_500;
+
     private static final Pattern ID = Pattern.compile("id=([^,]{1,24})");
 
     /** The number of times that each id has reached a pod; long ids count by their beginning. */
@@ -125,7 +129,7 @@
     private void sendAgain(String query) throws Exception {
         Matcher id = ID.matcher(query);
         assertTrue(id.find());
-        Thread.sleep(1_000);
+        Thread.sleep(SEND_AGAIN_MS);
         boolean ran = runsById.containsKey(id.group(1));
         try (Client second = new Client()) {
             String answer = second.execute(query);
