Refuse a req before it runs where its run could not be remembered

Callers of a route that may not be repeated saw requests take effect twice: ids that came again after their client had left ran again while other clients sent many requests.

Cause: above its limit ExecutionHistory dropped the oldest entries, whose time was not over.

Now nothing is dropped early. A req that may not simply be repeated takes a place before its first attempt; where there is none it is shed unsent (53300), which is harmless. Places of reqs that never ran are free at once. A quarter of the places is for clients that hold less than an even share, so that one that floods leaves room for the others; a connection counts as a client until it closes. What comes again takes over the place of the first. Idempotent routes need no place, and their ids are not looked up any more.

The log's count line tells the reqs shed for it since the start as no_place=.

reqsAreShedUnsentWhereNoMoreCanBeRemembered takes the place of oldestReqsAreForgottenAboveTheLimit, which asserted the fault: that the eleventh id makes the first run again. It is as strict on the bound.

--- a/core/src/main/java/mulleinlever/ExecutionHistory.java
+++ b/core/src/main/java/mulleinlever/ExecutionHistory.java
@@ -1,6 +1,7 @@
 package mulleinlever;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -9,25 +10,46 @@
 /**
  * Remembers the reqs that have ended and may have run at a pod, by hashes of their ids. A client
  * whose connection has ended may send its req once more under the same id; that must not run again
- * where its first run is not recognised. Used on the event loop.
+ * where its first run is not recognised.
+ *
+ * <p>What is remembered is never dropped early. Instead a req takes a place before its first try,
+ * and is not sent where there is none. The last part of the places is kept for clients that hold
+ * few of them. Used on the event loop.
  */
 final class ExecutionHistory {
     /**
      * The memory of one entry in bytes, whatever the length of the req's id: the entry with its
-     * try, its key, and its node and its part of the table in the map.
+     * place and its try, its key, and its node and its part of the table in the map.
      */
-    static final int ENTRY_BYTES = 136;
+    static final int ENTRY_BYTES = 168;
+
+    /** The share of the places that any client may take. */
+    private static final double COMMON_SHARE = 0.75;
+
+    /**
+     * The place of a req.
+     *
+     * @param earlierTry the first try that may have run of an earlier req with the same id; null if
+     *     none did
+     */
+    record Place(long idHash, long clientId, Try earlierTry) {}
 
     /** A try that may have run, of a req that has ended. */
-    private record Execution(Try firstTry, long expiresNs) {}
+    private record Execution(Place place, Try firstTry, long expiresNs) {}
 
     private final long retentionNs;
     private final SipHash idHash;
-    private int maxEntries = Integer.MAX_VALUE;
+    private int maxPlaces = Integer.MAX_VALUE;
+
+    /** The number of places that are held by reqs that have not ended. */
+    private int openPlaceCount;
 
     /** By the hashes of the reqs' ids, in the order in which the reqs ended. */
     private final Map<Long, Execution> executionsByIdHash = new LinkedHashMap<>();
 
+    /** The number of places of each client that holds any and has not disconnected. */
+    private final Map<Long, Integer> placeCountsByClient = new HashMap<>();
+
     /**
      * Creates an empty history.
      *
@@ -54,45 +76,100 @@
         return new ExecutionHistory(maxTimeoutNs + maxWindowNs, seed);
     }
 
-    /** Sets the memory above which the oldest entries are dropped, in bytes. */
+    /** Returns whether reqs of a route need a place: a repeat of them may do harm. */
+    static boolean needsPlace(Settings.RouteSettings route) {
+        return route.retrySafety() != Settings.RetrySafety.IDEMPOTENT;
+    }
+
+    /** Sets the memory that all places together may take, in bytes. */
     void limitMemory(long maxBytes) {
-        maxEntries = (int) Math.max(1, Math.min(maxBytes / ENTRY_BYTES, Integer.MAX_VALUE));
+        maxPlaces = (int) Math.max(1, Math.min(maxBytes / ENTRY_BYTES, Integer.MAX_VALUE));
     }
 
     /**
-     * Records that a req has ended, unless a repeat of it does no harm or none of its tries ran.
+     * Takes a place for an arriving req: that of an earlier req with the same id, or else a new
+     * one. Returns null if there is none, in which case the req must not be sent.
      */
-    void recordEnded(long nowNs, ReqState reqState) {
-        Try firstTry = reqState.firstTryThatMayHaveRun();
-        if (firstTry == null
-                || reqState.route.settings.retrySafety() == Settings.RetrySafety.IDEMPOTENT) {
-            return;
+    Place take(long nowNs, Req req) {
+        Place earlier = takeEarlier(nowNs, req);
+        if (earlier != null) {
+            return earlier;
         }
+        if (!hasPlaceFor(req.clientId())) {
+            return null;
+        }
+        openPlaceCount++;
+        placeCountsByClient.merge(req.clientId(), 1, Integer::sum);
+        return new Place(hash(req.id()), req.clientId(), null);
+    }
+
+    /**
+     * Takes the place of an earlier req with the same id that may have run. Returns null if none
+     * did.
+     */
+    Place takeEarlier(long nowNs, Req req) {
         removeExpired(nowNs);
-        long key = hash(reqState.req.id());
-        executionsByIdHash.remove(key);
-        executionsByIdHash.put(key, new Execution(firstTry, nowNs + retentionNs));
+        Execution execution = executionsByIdHash.remove(hash(req.id()));
+        if (execution == null) {
+            return null;
+        }
+        openPlaceCount++;
+        Place place = execution.place();
+        return new Place(place.idHash(), place.clientId(), execution.firstTry());
     }
 
-    private long hash(String reqId) {
-        return idHash.hash(reqId.getBytes(StandardCharsets.UTF_8));
+    private boolean hasPlaceFor(long clientId) {
+        int usedPlaces = openPlaceCount + executionsByIdHash.size();
+        // One more than those that hold places, so that there is room for a new one.
+        int evenShare = maxPlaces / (placeCountsByClient.size() + 1);
+        return usedPlaces < COMMON_SHARE * maxPlaces
+                || usedPlaces < maxPlaces
+                        && placeCountsByClient.getOrDefault(clientId, 0) < evenShare;
+    }
+
+    /**
+     * Records that a req with a place has ended. Its place is free at once unless a try of it may
+     * have run, else after some time.
+     */
+    void recordEnded(long nowNs, ReqState reqState) {
+        openPlaceCount--;
+        Place place = reqState.place;
+        Try firstTry = reqState.firstTryThatMayHaveRun();
+        if (firstTry == null) {
+            removeFromClient(place);
+            return;
+        }
+        Execution replaced = executionsByIdHash.remove(place.idHash());
+        if (replaced != null) {
+            removeFromClient(replaced.place());
+        }
+        executionsByIdHash.put(place.idHash(), new Execution(place, firstTry, nowNs + retentionNs));
     }
 
     private void removeExpired(long nowNs) {
         for (Iterator<Execution> oldestFirst = executionsByIdHash.values().iterator();
                 oldestFirst.hasNext(); ) {
-            boolean expired = oldestFirst.next().expiresNs() <= nowNs;
-            if (!expired && executionsByIdHash.size() < maxEntries) {
+            Execution oldest = oldestFirst.next();
+            if (oldest.expiresNs() > nowNs) {
                 return;
             }
             oldestFirst.remove();
+            removeFromClient(oldest.place());
         }
     }
 
-    /** Returns the first try that may have run of an earlier req with this id; null if none did. */
-    Try find(long nowNs, String reqId) {
-        Execution execution = executionsByIdHash.get(hash(reqId));
-        return execution == null || execution.expiresNs() <= nowNs ? null : execution.firstTry();
+    private void removeFromClient(Place place) {
+        placeCountsByClient.computeIfPresent(
+                place.clientId(), (id, count) -> count > 1 ? count - 1 : null);
+    }
+
+    /** Records that a client's connection has closed: its places count as those of no client. */
+    void recordConnectionClosed(long clientId) {
+        placeCountsByClient.remove(clientId);
+    }
+
+    private long hash(String reqId) {
+        return idHash.hash(reqId.getBytes(StandardCharsets.UTF_8));
     }
 
     /** Returns the number of reqs that are remembered. */
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -353,6 +353,10 @@
     private final Map<String, ReqState> openReqs = new LinkedHashMap<>();
 
     private final ExecutionHistory executionHistory;
+
+    /** The number of reqs that were shed because nothing more could be remembered of them. */
+    private long shedWithoutPlaceCount;
+
     private final ArrayDeque<ReqState> firstTryQueue = new ArrayDeque<>();
     private final ArrayDeque<ReqState> retryQueue = new ArrayDeque<>();
     private final ConcurrencyLimiter limiter;
@@ -580,13 +584,16 @@
      * must be one of the settings.
      */
     public void onReq(long nowNs, Req req) {
-        ReqState reqState =
-                new ReqState(
-                        req,
-                        routes.get(req.route()),
-                        nowNs,
-                        executionHistory.find(nowNs, req.id()));
+        RouteState route = routes.get(req.route());
+        boolean needsPlace = ExecutionHistory.needsPlace(route.settings);
+        ExecutionHistory.Place place = needsPlace ? executionHistory.take(nowNs, req) : null;
+        ReqState reqState = new ReqState(req, route, nowNs, place);
         openReqs.put(req.id(), reqState);
+        if (needsPlace && place == null) {
+            shedWithoutPlaceCount++;
+            shedOrFail(nowNs, reqState);
+            return;
+        }
         arrivals.add(nowNs, 1);
         limiter.recordDemand(
                 nowNs,
@@ -607,12 +614,12 @@
      * id may have run. The route must be one of the settings.
      */
     public void rejectReq(long nowNs, Req req) {
-        ReqState reqState =
-                new ReqState(
-                        req,
-                        routes.get(req.route()),
-                        nowNs,
-                        executionHistory.find(nowNs, req.id()));
+        RouteState route = routes.get(req.route());
+        ExecutionHistory.Place place =
+                ExecutionHistory.needsPlace(route.settings)
+                        ? executionHistory.takeEarlier(nowNs, req)
+                        : null;
+        ReqState reqState = new ReqState(req, route, nowNs, place);
         openReqs.put(req.id(), reqState);
         shedOrFail(nowNs, reqState);
     }
@@ -853,6 +860,13 @@
         }
     }
 
+    /**
+     * Handles the end of a client's connection, after the loss of the client of each of its reqs.
+     */
+    public void onClientConnectionClosed(long clientId) {
+        executionHistory.recordConnectionClosed(clientId);
+    }
+
     /**
      * Cancels the open tries of an answered req where that is allowed, and removes the req once no
      * try is open.
@@ -864,7 +878,10 @@
         }
         if (reqState.answered && reqState.openTryNumbers.isEmpty()) {
             openReqs.remove(reqState.req.id());
-            executionHistory.recordEnded(nowNs, reqState);
+            if (reqState.place != null) {
+                executionHistory.recordEnded(nowNs, reqState);
+                reqState.place = null;
+            }
         }
     }
 
@@ -1544,6 +1561,8 @@
      * @param unreachablePodCount the number of pods in unreachable zones
      * @param rememberedReqCount the number of ended reqs that are remembered since they may have
      *     run
+     * @param shedWithoutPlaceCount the number of reqs since the start that were shed because no
+     *     more could be remembered
      */
     public record Stats(
             double tryLimit,
@@ -1556,7 +1575,8 @@
             long healthyPodCount,
             long slowStartPodCount,
             long unreachablePodCount,
-            int rememberedReqCount) {}
+            int rememberedReqCount,
+            long shedWithoutPlaceCount) {}
 
     /** Returns the current figures for the log. */
     public Stats stats(long nowNs) {
@@ -1571,7 +1591,8 @@
                 leasedPods.count(p -> isHealthy(nowNs, p)),
                 leasedPods.count(p -> isInSlowStart(nowNs, p)),
                 leasedPods.count(Policy::isUnreachable),
-                executionHistory.size());
+                executionHistory.size(),
+                shedWithoutPlaceCount);
     }
 
     // ---- Learned state across restarts
--- a/core/src/main/java/mulleinlever/Req.java
+++ b/core/src/main/java/mulleinlever/Req.java
@@ -10,6 +10,7 @@
  * @param estimatedWorkNs not used by the policy
  * @param key its key, or -1 if it has none
  * @param tenant its tenant, or null if it has none
+ * @param clientId the number of the client connection on which it arrived; 0 if it is not known
  */
 public record Req(
         String id,
@@ -19,4 +20,5 @@
         long expiresInNs,
         long estimatedWorkNs,
         long key,
-        String tenant) {}
+        String tenant,
+        long clientId) {}
--- a/core/src/main/java/mulleinlever/ReqState.java
+++ b/core/src/main/java/mulleinlever/ReqState.java
@@ -13,6 +13,9 @@
     final long arrivedNs;
     final long deadlineNs;
 
+    /** The place in the {@link ExecutionHistory}; null if it holds none, and once it has ended. */
+    ExecutionHistory.Place place;
+
     /** The first try that may have run of an earlier req with the same id; null if none did. */
     final Try earlierTry;
 
@@ -36,9 +39,10 @@
     /** Whether a try was cancelled to send the req to another pod, which has not happened yet. */
     boolean failoverPending;
 
-    ReqState(Req req, RouteState route, long nowNs, Try earlierTry) {
+    ReqState(Req req, RouteState route, long nowNs, ExecutionHistory.Place place) {
         this.req = req;
-        this.earlierTry = earlierTry;
+        this.place = place;
+        this.earlierTry = place == null ? null : place.earlierTry();
         this.route = route;
         this.arrivedNs = nowNs;
         this.deadlineNs = nowNs + req.expiresInNs();
--- a/core/src/test/java/mulleinlever/ExecutionHistoryTest.java
+++ b/core/src/test/java/mulleinlever/ExecutionHistoryTest.java
@@ -101,17 +101,57 @@
         assertEquals(2, harness.sentTries.size());
     }
 
-    // The memory of ids must not grow with their number.
+    // At the limit the oldest id was forgotten, and ran again when it came again.
     @Test
-    void oldestReqsAreForgottenAboveTheLimit() {
+    void reqsAreShedUnsentWhereNoMoreCanBeRemembered() {
         PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
-        harness.policy.limitMemory(10 * ExecutionHistory.ENTRY_BYTES, 10);
-        for (int i = 0; i < 11; i++) {
+        harness.policy.limitMemory(8 * ExecutionHistory.ENTRY_BYTES, 10);
+        // One client may take three quarters of the places.
+        for (int i = 0; i < 6; i++) {
             sendAndLeave(harness, "r" + i);
         }
-        harness.sendReq("r10", "put", TIMEOUT_NS);
-        assertEquals(11, harness.sentTries.size());
+        harness.sendReq("r6", "put", TIMEOUT_NS);
+        assertEquals("shed", harness.finalAnswers.get("r6"));
         harness.sendReq("r0", "put", TIMEOUT_NS);
-        assertEquals(12, harness.sentTries.size());
+        assertEquals("error", harness.finalAnswers.get("r0"));
+        assertEquals(6, harness.sentTries.size());
+        harness.advance(TIMEOUT_NS + 1_000 * MS);
+        harness.sendReq("r7", "put", TIMEOUT_NS);
+        assertEquals(7, harness.sentTries.size());
+    }
+
+    // A req that is not sent, or doesn't run, takes no place for longer than it is open.
+    @Test
+    void placesOfReqsThatNeverRanAreFreeAtOnce() {
+        PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
+        harness.policy.limitMemory(10 * ExecutionHistory.ENTRY_BYTES, 10);
+        for (int i = 0; i < 100; i++) {
+            harness.sendReq("r" + i, "put", TIMEOUT_NS);
+            harness.policy.onClientDisconnected(harness.nowNs, "r" + i);
+            harness.endTry("r" + i, 0, TryOutcome.CONNECT_FAILED, 0);
+        }
+        assertEquals(100, harness.sentTries.size());
+    }
+
+    // One client could take all places, so that all others were refused.
+    @Test
+    void clientsWithFewReqsAreServedBesideOneWithMany() {
+        PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
+        harness.policy.limitMemory(100 * ExecutionHistory.ENTRY_BYTES, 10);
+        for (int i = 0; i < 200; i++) {
+            sendReqOf(harness, 1, "many" + i);
+        }
+        for (int i = 0; i < 20; i++) {
+            sendReqOf(harness, 2 + i % 4, "few" + i);
+            assertEquals("few" + i, harness.lastSent().reqId());
+        }
+    }
+
+    private static void sendReqOf(PolicyHarness harness, long clientId, String reqId) {
+        Req req = new Req(reqId, "put", false, true, TIMEOUT_NS, 0, -1, null, clientId);
+        harness.policy.onReq(harness.nowNs, req);
+        if (harness.lastSent().reqId().equals(reqId)) {
+            harness.endTry(reqId, 0, TryOutcome.OK, MS);
+        }
     }
 }
--- a/core/src/test/java/mulleinlever/OpenTryLatenessDetectorTest.java
+++ b/core/src/test/java/mulleinlever/OpenTryLatenessDetectorTest.java
@@ -36,7 +36,16 @@
                 int late = random.nextDouble() < lateShare ? 1 : 0;
                 ReqState req =
                         new ReqState(
-                                new Req("r" + i, "get", false, false, 2 * SECOND_NS, 0, -1, null),
+                                new Req(
+                                        "r" + i,
+                                        "get",
+                                        false,
+                                        false,
+                                        2 * SECOND_NS,
+                                        0,
+                                        -1,
+                                        null,
+                                        0),
                                 route,
                                 nowNs,
                                 null);
--- a/core/src/test/java/mulleinlever/PolicyHarness.java
+++ b/core/src/test/java/mulleinlever/PolicyHarness.java
@@ -244,7 +244,7 @@
     }
 
     void sendReq(String reqId, String route, long expiresInNs) {
-        policy.onReq(nowNs, new Req(reqId, route, false, false, expiresInNs, 0, -1, null));
+        policy.onReq(nowNs, new Req(reqId, route, false, false, expiresInNs, 0, -1, null, 0));
     }
 
     void endTry(String reqId, int tryNumber, TryOutcome outcome, long durationNs) {
--- a/core/src/test/java/mulleinlever/PolicyRegressionTest.java
+++ b/core/src/test/java/mulleinlever/PolicyRegressionTest.java
@@ -145,11 +145,11 @@
         harness.policy.onPodListReplaced(harness.nowNs, List.of(PolicyHarness.podEntry(0, 2, 0)));
         harness.setRolloutStatus(2, 2, RolloutStatus.Phase.RELEASED, 1);
         harness.policy.onReq(
-                harness.nowNs, new Req("a", "get", false, false, SECOND_NS, 0, 7, null));
+                harness.nowNs, new Req("a", "get", false, false, SECOND_NS, 0, 7, null, 0));
         harness.endTry("a", 0, TryOutcome.OK, 50 * MILLISECOND_NS);
         harness.policy.onPodListReplaced(harness.nowNs, List.of(PolicyHarness.podEntry(1, 1, 0)));
         harness.policy.onReq(
-                harness.nowNs, new Req("b", "get", false, false, SECOND_NS, 0, 7, null));
+                harness.nowNs, new Req("b", "get", false, false, SECOND_NS, 0, 7, null, 0));
         assertEquals(1, harness.sentTries.size());
         harness.setRolloutStatus(2, 2, RolloutStatus.Phase.WITHDRAWN, 0);
         assertEquals("pod1", harness.lastSent().podId());
--- a/core/src/test/java/mulleinlever/PolicyRestoreTest.java
+++ b/core/src/test/java/mulleinlever/PolicyRestoreTest.java
@@ -44,7 +44,7 @@
         for (int i = 0; i < reqCount; i++) {
             String id = "q" + harness.nowNs;
             harness.policy.onReq(
-                    harness.nowNs, new Req(id, "get", false, false, 2 * SECOND_NS, 0, i, null));
+                    harness.nowNs, new Req(id, "get", false, false, 2 * SECOND_NS, 0, i, null, 0));
             for (int tryNumber = 0;
                     !harness.sentTries.isEmpty()
                             && harness.lastSent().reqId().equals(id)
@@ -188,14 +188,17 @@
         before.policy.onRolloutStatus(
                 before.nowNs, new RolloutStatus(2, 2, RolloutStatus.Phase.RELEASED, 1, 0));
         before.policy.onPodListReplaced(before.nowNs, List.of(PolicyHarness.podEntry(1, 2, 0)));
-        before.policy.onReq(before.nowNs, new Req("a", "get", false, false, SECOND_NS, 0, 7, null));
+        before.policy.onReq(
+                before.nowNs, new Req("a", "get", false, false, SECOND_NS, 0, 7, null, 0));
         before.endTry("a", 0, TryOutcome.OK, 20 * MILLISECOND_NS);
         PolicyHarness after = freshHarness(2, PolicyHarness.podEntry(0, 1, 0));
         after.policy.onRolloutStatus(
                 after.nowNs, new RolloutStatus(2, 2, RolloutStatus.Phase.RELEASED, 1, 0));
         restore(after, exportLearned(before));
-        after.policy.onReq(after.nowNs, new Req("c", "get", false, false, SECOND_NS, 0, 8, null));
-        after.policy.onReq(after.nowNs, new Req("b", "get", false, false, SECOND_NS, 0, 7, null));
+        after.policy.onReq(
+                after.nowNs, new Req("c", "get", false, false, SECOND_NS, 0, 8, null, 0));
+        after.policy.onReq(
+                after.nowNs, new Req("b", "get", false, false, SECOND_NS, 0, 7, null, 0));
         assertEquals(
                 List.of("c"), after.sentTries.stream().map(PolicyHarness.SentTry::reqId).toList());
     }
--- a/core/src/test/java/mulleinlever/PolicyRulesModelTest.java
+++ b/core/src/test/java/mulleinlever/PolicyRulesModelTest.java
@@ -164,7 +164,8 @@
                             (100 + random.nextInt(1_500)) * MILLISECOND_NS,
                             0,
                             random.nextInt(60),
-                            null);
+                            null,
+                            0);
             reqs.put(req.id(), req);
             arrivedNs.put(req.id(), harness.nowNs);
             harness.policy.onReq(harness.nowNs, req);
--- a/drill/src/main/java/mulleinlever/drill/DrillSession.java
+++ b/drill/src/main/java/mulleinlever/drill/DrillSession.java
@@ -184,7 +184,8 @@
                                     line.getLong("expiresInNs"),
                                     line.getLong("workNs", 0),
                                     line.getLong("item", -1),
-                                    findTenant(line)));
+                                    findTenant(line),
+                                    0));
             case "HEAD_RECEIVED" -> policy.onStreamStarted(nowNs, line.getString("ticket"));
             case "PROMOTION" -> updateRolloutStatus(policy, line);
             case "CLIENT_GONE" -> policy.onClientDisconnected(nowNs, line.getString("ticket"));
--- a/lab/src/main/java/mulleinlever/lab/FleetLog.java
+++ b/lab/src/main/java/mulleinlever/lab/FleetLog.java
@@ -51,6 +51,7 @@
                     "cold",
                     "dark",
                     "remembered",
+                    "no_place",
                     "ease",
                     "list_age",
                     "pool_mb",
--- a/lab/src/main/java/mulleinlever/lab/emu/EmulatedSidecar.java
+++ b/lab/src/main/java/mulleinlever/lab/emu/EmulatedSidecar.java
@@ -125,7 +125,7 @@
         pendingReqs.put(id, new PendingReq(route, workNs, scheduler.nowNs(), onAnswer));
         policy.onReq(
                 scheduler.nowNs(),
-                new Req(id, route.name(), false, false, route.timeoutNs(), 0, key, null));
+                new Req(id, route.name(), false, false, route.timeoutNs(), 0, key, null, 0));
     }
 
     @Override
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -53,6 +53,7 @@
     private final Clock clock;
     private final RateLimitedLog log;
 
+    private final long id;
     private Channel channel;
     private PostgresMessageDecoder decoder;
     private RequestAdmission admission;
@@ -106,6 +107,7 @@
             RateLimitedLog log) {
         this.queryHandler = queryHandler;
         this.clientConnections = clientConnections;
+        this.id = clientConnections.nextConnectionId();
         this.memory = memory;
         this.metrics = metrics;
         this.reqRegistry = reqRegistry;
@@ -113,6 +115,11 @@
         this.log = log;
     }
 
+    /** Returns the number by which the policy tells connections apart. */
+    long id() {
+        return id;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
@@ -674,6 +681,7 @@
         clientConnections.connectionClosed(this);
         abandonMessage();
         responses.clear(reqRegistry);
+        reqRegistry.onClientConnectionClosed(this);
     }
 
     @Override
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -38,6 +38,7 @@
     final InputBacklog inputBacklog;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
+    private long lastConnectionId;
 
     /** The task that looks again for a connection to close; null if none is scheduled. */
     private Future<?> acceptRetryTask;
@@ -82,6 +83,11 @@
         transport.runAfterNextReads(task);
     }
 
+    /** Returns a number for a new connection. No two connections have the same, and none has 0. */
+    long nextConnectionId() {
+        return ++lastConnectionId;
+    }
+
     int connectionCount() {
         return connections.size();
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
@@ -136,7 +136,8 @@
                         remainingNs,
                         0,
                         statement.key(),
-                        statement.tenant);
+                        statement.tenant,
+                        command.client.id());
         if (command.client.mayHaveLeft()) {
             policyActions.rejectReq(req);
         } else {
--- a/sidecar/src/main/java/mulleinlever/sidecar/ReqRegistry.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ReqRegistry.java
@@ -162,6 +162,11 @@
         releaseIfFinished(command);
     }
 
+    /** Records that a connection has closed, after the disconnect of the client of each req. */
+    void onClientConnectionClosed(ClientConnection client) {
+        policy.onClientConnectionClosed(client.id());
+    }
+
     /** Releases a req that was not registered, whose client has disconnected. */
     private void dropUnregistered(PendingCommand command) {
         removeSuccessor(command);
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
@@ -218,7 +218,7 @@
                                     String.format(
                                             Locale.ROOT,
                                             "clients=%d links=%d room=%.1f open=%d first=%d "
-                                                    + "further=%d ease=%.2f ready=%d usable=%d fit=%d cold=%d dark=%d remembered=%d list_age=%.1f "
+                                                    + "further=%d ease=%.2f ready=%d usable=%d fit=%d cold=%d dark=%d remembered=%d no_place=%d list_age=%.1f "
                                                     + "pool_mb=%.1f req_mb=%.1f resp_mb=%.1f loop_ms=%.1f",
                                             clientConnectionCount,
                                             podConnectionCount,
@@ -233,6 +233,7 @@
                                             stats.slowStartPodCount(),
                                             stats.unreachablePodCount(),
                                             stats.rememberedReqCount(),
+                                            stats.shedWithoutPlaceCount(),
                                             listAgeNs / 1e9,
                                             memory.poolBytes() / BYTES_PER_MB,
                                             memory.requestBytes() / BYTES_PER_MB,
--- a/sidecar/src/test/java/mulleinlever/sidecar/RememberedRequestsTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/RememberedRequestsTest.java
@@ -172,5 +172,6 @@
         assertEquals(0, ranTwice, "ids that ran twice, of " + runsById.size());
         assertTrue(wrongAnswers.isEmpty(), wrongAnswers.size() + " such as " + wrongAnswers.peek());
         assertUsualClientsAreServed();
+        assertTrue(logText().matches("(?s).* no_place=[1-9].*"), "the limit was not reached");
     }
 }
