Keep no text of long ids and names on the heap while a req is in hand

The memory of messages is bounded outside the heap; the copies had no bound of their own, and take twice as much where a character is beyond Latin-1.

With a heap of 24 MB the process ended for want of it.

An id of up to 64 bytes stays text; a longer one is told apart by its hash (SipHash, 64 bits, on the bytes as sent, so that unsound UTF-8 does no harm either). It is logged as "long," and the hash. Names of over 256 bytes count as unknown: no route has such a name, and the tenant is not used by the policy.

--- a/core/src/main/java/mulleinlever/ExecutionHistory.java
+++ b/core/src/main/java/mulleinlever/ExecutionHistory.java
@@ -5,7 +5,6 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.SplittableRandom;
 
 /**
  * Remembers the reqs that have ended and may have run at a pod, by hashes of their ids. A client
@@ -58,8 +57,7 @@
      */
     ExecutionHistory(long retentionNs, long seed) {
         this.retentionNs = retentionNs;
-        SplittableRandom keys = new SplittableRandom(seed);
-        this.idHash = new SipHash(keys.nextLong(), keys.nextLong());
+        this.idHash = SipHash.ofSeed(seed);
     }
 
     /**
--- a/core/src/main/java/mulleinlever/SipHash.java
+++ b/core/src/main/java/mulleinlever/SipHash.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import java.util.SplittableRandom;
 
 /**
  * The keyed hash function SipHash-2-4 with results of 64 bits (Jean-Philippe Aumasson and Daniel J.
@@ -22,6 +23,12 @@
         this.key1 = key1;
     }
 
+    /** Returns a hash function with a random key. */
+    public static SipHash ofSeed(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        return new SipHash(random.nextLong(), random.nextLong());
+    }
+
     /** The internal state of one computation. */
     private static final class State {
         private long v0;
--- a/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
@@ -6,6 +6,7 @@
 import java.util.stream.Collectors;
 import mulleinlever.Req;
 import mulleinlever.Settings;
+import mulleinlever.SipHash;
 
 /**
  * Recognizes reqs among the clients' queries. A valid req is registered in the {@link ReqRegistry}
@@ -24,13 +25,15 @@
     private final Clock clock;
     private final ReqRegistry reqRegistry;
     private final SidecarPolicyActions policyActions;
+    private final SipHash longIdHash;
 
     QueryHandler(
             Settings settings,
             NettyTransport transport,
             Clock clock,
             ReqRegistry reqRegistry,
-            SidecarPolicyActions policyActions) {
+            SidecarPolicyActions policyActions,
+            SipHash longIdHash) {
         this.transport = transport;
         this.clock = clock;
         this.routesByName =
@@ -40,6 +43,7 @@
                                         Settings.RouteSettings::name, Function.identity()));
         this.reqRegistry = reqRegistry;
         this.policyActions = policyActions;
+        this.longIdHash = longIdHash;
     }
 
     /**
@@ -55,7 +59,7 @@
             client.respond(PostgresMessages.emptyQueryResponse());
             return;
         }
-        Statement statement = Statement.parse(query);
+        Statement statement = Statement.parse(query, longIdHash);
         Settings.RouteSettings routeSettings =
                 statement == null ? null : routesByName.get(statement.route);
         if (routeSettings == null) {
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -4,6 +4,7 @@
 import mulleinlever.MemoryLimits;
 import mulleinlever.Policy;
 import mulleinlever.Settings;
+import mulleinlever.SipHash;
 
 /** The components of a sidecar, connected to one {@link Policy}. Used on the event loop only. */
 final class SidecarComponents {
@@ -92,7 +93,14 @@
         releasePlatformClient.setPolicy(policy);
         discoveryClient.applyInitialList(config.initialPodList());
         policy.onRolloutStatus(clock.nowNs(), config.initialRolloutStatus());
-        queryHandler = new QueryHandler(settings, transport, clock, reqRegistry, policyActions);
+        queryHandler =
+                new QueryHandler(
+                        settings,
+                        transport,
+                        clock,
+                        reqRegistry,
+                        policyActions,
+                        SipHash.ofSeed(config.seed()));
     }
 
     /** Returns the handler for a new client connection. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/Statement.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/Statement.java
@@ -1,7 +1,9 @@
 package mulleinlever.sidecar;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
+import mulleinlever.SipHash;
 
 /**
  * A client's SQL statement with the fields of the comment at its end, such as {@code
@@ -12,16 +14,30 @@
     /** The radix of keys, and also their maximum number of digits: 16 hex digits are 64 bits. */
     private static final int HEX_RADIX = 16;
 
+    /**
+     * The size up to which an id is kept as text, in bytes. The memory of a statement beside its
+     * text must not grow with what a client writes.
+     */
+    private static final int MAX_ID_BYTES = 64;
+
+    /** The size above which the name of a route or a tenant counts as unknown, in bytes. */
+    private static final int MAX_NAME_BYTES = 256;
+
+    /** The beginning of {@link #id} for a longer id; no field of a client has a comma. */
+    private static final String LONG_ID_PREFIX = "long,";
+
+    private final SipHash longIdHash;
+
     /** The text with its terminating zero byte. */
     final ByteBuf text;
 
-    /** The req's id: field {@code id}. */
+    /** The req's id: field {@code id}, or a hash of it if it is long. */
     String id;
 
     /** The name of the route: field {@code c}. */
     String route;
 
-    /** The name of the tenant: field {@code t}; null if absent. */
+    /** The name of the tenant: field {@code t}; null if absent or too long. */
     String tenant;
 
     /** Whether the client has sent this req before: field {@code r} is 1. */
@@ -39,17 +55,20 @@
     /** The number of digits of the value of field {@code d}. */
     int clientTimeoutLength;
 
-    private Statement(ByteBuf text) {
+    private Statement(ByteBuf text, SipHash longIdHash) {
         this.text = text;
+        this.longIdHash = longIdHash;
     }
 
     /**
      * Parses the comment at the end of a statement. Returns null if the comment is missing, is
      * malformed or lacks the id or the route. In either case the caller keeps ownership of the
      * text.
+     *
+     * @param longIdHash the function by whose results long ids are told apart
      */
-    static Statement parse(ByteBuf text) {
-        Statement statement = new Statement(text);
+    static Statement parse(ByteBuf text, SipHash longIdHash) {
+        Statement statement = new Statement(text, longIdHash);
         int end = text.readerIndex() + text.readableBytes() - 1;
         while (end > text.readerIndex() && text.getByte(end - 1) <= ' ') {
             end--;
@@ -107,14 +126,14 @@
                         && text.getByte(nameStart) == 'i'
                         && text.getByte(nameStart + 1) == 'd';
         if (isId) {
-            id = decode(valueStart, valueEnd);
+            id = decodeId(valueStart, valueEnd);
         }
         if (nameEnd != nameStart + 1) {
             return true;
         }
         switch (text.getByte(nameStart)) {
-            case 'c' -> route = decode(valueStart, valueEnd);
-            case 't' -> tenant = decode(valueStart, valueEnd);
+            case 'c' -> route = decodeName(valueStart, valueEnd);
+            case 't' -> tenant = decodeName(valueStart, valueEnd);
             case 'r' ->
                     isClientRetry = valueEnd == valueStart + 1 && text.getByte(valueStart) == '1';
             case 'd' -> {
@@ -128,6 +147,19 @@
         return true;
     }
 
+    private String decodeId(int start, int end) {
+        if (end - start <= MAX_ID_BYTES) {
+            return decode(start, end);
+        }
+        long hash = longIdHash.hash(ByteBufUtil.getBytes(text, start, end - start));
+        return LONG_ID_PREFIX + Long.toHexString(hash);
+    }
+
+    /** Returns the name in the given range of the text; null if it is too long. */
+    private String decodeName(int start, int end) {
+        return end - start <= MAX_NAME_BYTES ? decode(start, end) : null;
+    }
+
     /** Returns the given range of the text, decoded as UTF-8. */
     private String decode(int start, int end) {
         return text.toString(start, end - start, StandardCharsets.UTF_8);
--- a/sidecar/src/test/java/mulleinlever/sidecar/DecodersTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/DecodersTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -19,6 +21,7 @@
 import java.util.SplittableRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import mulleinlever.SipHash;
 import mulleinlever.settings.InvalidInputException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,6 +33,7 @@
  * or with a simple reference parser.
  */
 class DecodersTest {
+    private static final SipHash ID_HASH = SipHash.ofSeed(1);
     private static final int ROUNDS = 300;
 
     /** Returns the bytes in buffers of random length. */
@@ -187,7 +191,7 @@
                             + " */"
                             + " ".repeat(random.nextInt(3));
             ByteBuf buffer = Unpooled.copiedBuffer(text + "\0", StandardCharsets.UTF_8);
-            Statement statement = Statement.parse(buffer);
+            Statement statement = Statement.parse(buffer, ID_HASH);
             String parsed =
                     statement == null
                             ? null
@@ -231,7 +235,25 @@
                 Unpooled.copiedBuffer(text + " /* id=1,c=get,d=5 */\0", StandardCharsets.UTF_8);
         assertEquals(
                 expectedHexKey == null ? -1 : Long.parseLong(expectedHexKey, 16),
-                Statement.parse(buffer).key());
+                Statement.parse(buffer, ID_HASH).key());
+    }
+
+    // Long ids and names were kept as text beside the statement, whatever their length.
+    @Test
+    void longIdsAreToldApartByHashesOfFixedSize() {
+        String padding = "7".repeat(60_000);
+        Statement one = parse("id=1" + padding + ",c=get,t=" + padding);
+        assertTrue(one.id.length() < 32, one.id.length() + " characters");
+        assertNull(one.tenant);
+        assertEquals(one.id, parse("id=1" + padding + ",c=get").id);
+        assertNotEquals(one.id, parse("id=2" + padding + ",c=get").id);
+        assertNull(parse("id=1,c=" + padding));
+    }
+
+    private static Statement parse(String comment) {
+        return Statement.parse(
+                Unpooled.copiedBuffer("SELECT /* " + comment + " */\0", StandardCharsets.UTF_8),
+                ID_HASH);
     }
 
     @Test
--- a/sidecar/src/test/java/mulleinlever/sidecar/RememberedRequestsTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/RememberedRequestsTest.java
@@ -159,6 +159,19 @@
         assertTrue(floodAnswers.get() > 500, floodAnswers + " answers");
     }
 
+    // The names of each request in hand were copied to the heap as text, which may take twice the
+    // memory of the message.
+    @Test
+    void processLastsWhereManyLongIdsAreInHand() throws Exception {
+        extraJvmFlags.add("-Xmx24m");
+        start(192);
+        startUsualClients("get");
+        podMs = 1_500;
+        flood("get", 20, "\u20ac" + "7".repeat(60_000));
+        Thread.sleep(FLOOD_MS);
+        assertTrue(process.isAlive(), "the process has ended: " + logText());
+    }
+
     // Above a number of remembered ids the oldest was forgotten, and ran again when it came again.
     @Test
     void idThatMayHaveRunNeverRunsAgainBesideManyOthers() throws Exception {
