Answer what was taken before the process ends after SIGTERM

Callers saw requests sent on after SIGTERM and their connections closed without an answer: of 60 requests that were complete 0.72 s after it, 9 to 11 beside two hung servers of twelve, and 1,200 of 1,200 where they were sent in a row and all servers hung.

Cause: the end of the process was a timer, the longest timeout and 0.1 s after the first 0.5 s, which knew nothing of what was taken: it closed all connections as they were. Connections that were busy at 0.5 s took requests without end, also such whose time is over after the process may be killed. Evidence: the log says "ended" 3.6 s after SIGTERM and those requests had until 3.72 s; with hung servers the loss is the same on non-retriable, idempotent and deduplicated routes (8 of 60 in turn), with a longest timeout of 0.8 s it is 50 of 60, and it takes requests with more time than any route's timeout that were taken before SIGTERM (120 of 120). A second SIGTERM changes nothing. The times counted from when the event loop got round to the signal.

Now ShutdownPolicy decides, by the time since the signal and the timeouts told. After the first 0.5 s a request is taken if its whole time is over before the kill may come, less 0.2 s; one that may be repeated is taken for what is left. Any other is refused unsent, at once. 0.2 s before the latest time of the kill nothing more is read, the policy answers all that is open, what was received behind it is refused in order, and incomplete messages get 57P03; then the process ends. It ends before as soon as all connections are closed, as it did; with short timeouts it waits for incomplete messages, up to 3.7 s.

shutdownEndsInTimeWhereTheProcessIsHeldUp is held up from 50 ms after SIGTERM on, for as long as before: where a process is stopped before it sees the signal, no program can tell when it was sent.

--- a/core/src/main/java/mulleinlever/ExecutionHistory.java
+++ b/core/src/main/java/mulleinlever/ExecutionHistory.java
@@ -65,13 +65,12 @@
      * client waits, and for the longest dedup window after that.
      */
     static ExecutionHistory of(Settings settings, long seed) {
-        long maxTimeoutNs = 0;
-        long maxWindowNs = 0;
-        for (Settings.RouteSettings route : settings.routes()) {
-            maxTimeoutNs = Math.max(maxTimeoutNs, route.timeoutNs());
-            maxWindowNs = Math.max(maxWindowNs, route.dedupWindowNs());
-        }
-        return new ExecutionHistory(maxTimeoutNs + maxWindowNs, seed);
+        long longestWindowNs =
+                settings.routes().stream()
+                        .mapToLong(Settings.RouteSettings::dedupWindowNs)
+                        .max()
+                        .orElse(0);
+        return new ExecutionHistory(settings.longestTimeoutNs() + longestWindowNs, seed);
     }
 
     /** Returns whether reqs of a route need a place: a repeat of them may do harm. */
--- a/core/src/main/java/mulleinlever/Policy.java
+++ b/core/src/main/java/mulleinlever/Policy.java
@@ -860,6 +860,15 @@
         }
     }
 
+    /** Answers all reqs that have no answer, since the process ends before they would. */
+    public void answerOpenReqs(long nowNs) {
+        for (ReqState reqState : List.copyOf(openReqs.values())) {
+            if (!reqState.answered && !reqState.streaming) {
+                shedOrFail(nowNs, reqState);
+            }
+        }
+    }
+
     /**
      * Handles the end of a client's connection, after the loss of the client of each of its reqs.
      */
--- a/core/src/main/java/mulleinlever/Settings.java
+++ b/core/src/main/java/mulleinlever/Settings.java
@@ -31,6 +31,11 @@
         ReportSource reportSource,
         boolean hasPodWeights) {
 
+    /** Returns the longest time for which clients of any route wait, in nanoseconds. */
+    public long longestTimeoutNs() {
+        return routes.stream().mapToLong(RouteSettings::timeoutNs).max().orElse(0);
+    }
+
     /** When a req that may have run at a pod may be retried. */
     public enum RetrySafety {
         /** Always. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -64,6 +64,9 @@
     private boolean startupComplete;
     private boolean closing;
 
+    /** Whether nothing more is read, since the process ends. */
+    private boolean readingStopped;
+
     /** Whether {@link #decode} is running. */
     private boolean decoding;
 
@@ -283,7 +286,14 @@
                 || clientConnections.inputBacklog.hasTime(clock.nowNs() - decodeStartNs);
     }
 
-    private void setReading(boolean reading) {
+    /** Reads nothing more, and goes on with what was received. */
+    void stopReading() {
+        readingStopped = true;
+        setReading(false);
+    }
+
+    private void setReading(boolean wanted) {
+        boolean reading = wanted && !readingStopped;
         if (reading == channel.config().isAutoRead()) {
             return;
         }
@@ -614,6 +624,15 @@
         }
     }
 
+    /**
+     * Answers a message that is not complete when the process ends: none of it has had an effect.
+     */
+    void answerIncompleteMessage() {
+        if (!closing && hasUndecodedInput()) {
+            respondAndClose(PostgresMessages.CANNOT_CONNECT_NOW, "shutting down");
+        }
+    }
+
     /**
      * Closes the connection in favor of a new one; a client that has left a message incomplete gets
      * an error first, by which it may try again.
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -196,6 +196,16 @@
         new ArrayList<>(connections).forEach(ClientConnection::closeIfIdle);
     }
 
+    /** Reads nothing more from any connection. */
+    void stopReading() {
+        connections.forEach(ClientConnection::stopReading);
+    }
+
+    /** Answers the messages that are not complete; their connections close behind the answers. */
+    void answerIncompleteMessages() {
+        new ArrayList<>(connections).forEach(ClientConnection::answerIncompleteMessage);
+    }
+
     /** Returns whether connections are to close as soon as they are idle. */
     boolean isShuttingDown() {
         return lifecycle.isIn(Lifecycle.Phase.FINISHING);
--- a/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
@@ -25,6 +25,7 @@
     private final Clock clock;
     private final ReqRegistry reqRegistry;
     private final SidecarPolicyActions policyActions;
+    private final Lifecycle lifecycle;
     private final SipHash longIdHash;
 
     QueryHandler(
@@ -33,6 +34,7 @@
             Clock clock,
             ReqRegistry reqRegistry,
             SidecarPolicyActions policyActions,
+            Lifecycle lifecycle,
             SipHash longIdHash) {
         this.transport = transport;
         this.clock = clock;
@@ -43,6 +45,7 @@
                                         Settings.RouteSettings::name, Function.identity()));
         this.reqRegistry = reqRegistry;
         this.policyActions = policyActions;
+        this.lifecycle = lifecycle;
         this.longIdHash = longIdHash;
     }
 
@@ -127,22 +130,28 @@
 
     /**
      * Hands a registered req to the policy, with the time that is left to it. One whose client may
-     * have left is not to be sent.
+     * have left is not to be sent, nor one that the process can't answer before it ends.
      */
     private void submit(PendingCommand command, long remainingNs) {
         Statement statement = command.statement;
+        long timeNs =
+                lifecycle.timeForReq(
+                        clock.nowNs(),
+                        remainingNs,
+                        routesByName.get(statement.route).retrySafety());
         Req req =
                 new Req(
                         statement.id,
                         statement.route,
                         statement.isClientRetry,
                         statement.isWrite(),
-                        remainingNs,
+                        timeNs,
                         0,
                         statement.key(),
                         statement.tenant,
                         command.client.id());
-        if (command.client.mayHaveLeft()) {
+        boolean tooLate = remainingNs > 0 && timeNs == 0;
+        if (command.client.mayHaveLeft() || tooLate) {
             policyActions.rejectReq(req);
         } else {
             policyActions.submitReq(req);
--- a/sidecar/src/main/java/mulleinlever/sidecar/ReqRegistry.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ReqRegistry.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import mulleinlever.Policy;
 import mulleinlever.TryOutcome;
@@ -176,6 +177,12 @@
         }
     }
 
+    /** Ends all waits of reqs for their ids. */
+    void endWaitsForIds() {
+        List<Successor> waiting = List.copyOf(successorsById.values());
+        waiting.forEach(successor -> successor.listener().onIdInUse(successor.command()));
+    }
+
     /** Ends the wait for the id of a req that has got its response. */
     private void rejectSuccessor(PendingCommand answered) {
         Successor successor = successorsById.remove(answered.statement.id);
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -100,6 +100,7 @@
                         clock,
                         reqRegistry,
                         policyActions,
+                        lifecycle,
                         SipHash.ofSeed(config.seed()));
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarServer.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarServer.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import mulleinlever.Settings;
+import mulleinlever.ShutdownPolicy;
 import mulleinlever.settings.FeatureSettings;
 import mulleinlever.settings.InvalidInputException;
 
@@ -20,15 +20,6 @@
     private static final long MILLISECOND_NS = 1_000_000L;
     private static final long SECOND_NS = 1_000 * MILLISECOND_NS;
 
-    /**
-     * How long reqs are still accepted after the process was asked to stop, since clients learn
-     * late that it ends.
-     */
-    private static final long LEAVING_DURATION_NS = 500 * MILLISECOND_NS;
-
-    /** The time allowed for answers beyond the longest route timeout during shutdown. */
-    private static final long FINISHING_SLACK_NS = 100 * MILLISECOND_NS;
-
     /**
      * The maximum time to wait for a confirmed pod list before listening, counted from the start of
      * the process.
@@ -47,6 +38,7 @@
 
     private final Clock clock;
     private final RateLimitedLog log;
+    private final ShutdownPolicy shutdownPolicy;
     private final Lifecycle lifecycle;
     private final NettyTransport transport;
     private final ConfigReloader reloader;
@@ -67,7 +59,8 @@
         this.clock = clock;
         this.startedNs = clock.nowNs();
         this.log = log;
-        this.lifecycle = new Lifecycle(log);
+        this.shutdownPolicy = new ShutdownPolicy(config.settings().longestTimeoutNs());
+        this.lifecycle = new Lifecycle(log, shutdownPolicy);
         this.transport = new NettyTransport(log);
         this.reloader = new ConfigReloader(env, config, transport, log);
     }
@@ -231,12 +224,14 @@
         if (lifecycle.isIn(Lifecycle.Phase.ENDED)) {
             return;
         }
+        // The event loop may be late, but the time until the kill runs from the signal.
+        lifecycle.setStopRequestedNs(clock.nowNs());
         transport.execute(
                 () -> {
                     if (lifecycle.isIn(Lifecycle.Phase.STARTING)) {
                         end();
-                    } else if (lifecycle.advanceTo(Lifecycle.Phase.LEAVING)) {
-                        transport.schedule(LEAVING_DURATION_NS, this::finish);
+                    } else {
+                        newShutdown().begin();
                     }
                 });
         try {
@@ -247,26 +242,9 @@
         }
     }
 
-    /**
-     * Closes idle connections and accepts no new ones. Ends when all client connections are closed
-     * or the longest route timeout has passed.
-     */
-    private void finish() {
-        lifecycle.advanceTo(Lifecycle.Phase.FINISHING);
-        components.clientConnections.shutDown();
-        long maxTimeoutNs =
-                config.settings().routes().stream()
-                        .mapToLong(Settings.RouteSettings::timeoutNs)
-                        .max()
-                        .orElse(0);
-        transport.schedule(maxTimeoutNs + FINISHING_SLACK_NS, this::end);
-        transport.scheduleAtFixedRate(
-                10 * MILLISECOND_NS,
-                () -> {
-                    if (components.clientConnections.connectionCount() == 0) {
-                        end();
-                    }
-                });
+    private GracefulShutdown newShutdown() {
+        return new GracefulShutdown(
+                shutdownPolicy, lifecycle, components, transport, clock, log, this::end);
     }
 
     private void end() {
--- a/sidecar/src/main/java/mulleinlever/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/WarmUp.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import mulleinlever.Settings;
+import mulleinlever.ShutdownPolicy;
 
 /**
  * Sends generated reqs through the components of a sidecar before the real ones serve clients. The
@@ -82,7 +83,11 @@
     private void start() {
         SidecarComponents components =
                 new SidecarComponents(
-                        config, transport, clock, discardingLog, new Lifecycle(discardingLog));
+                        config,
+                        transport,
+                        clock,
+                        discardingLog,
+                        new Lifecycle(discardingLog, new ShutdownPolicy(0)));
         components.policy.onPodListConfirmed(clock.nowNs());
         Set<String> podAddresses =
                 new TreeSet<>(config.initialPodList().addressesByPodId().values());
--- a/sidecar/src/test/java/mulleinlever/sidecar/ShutdownAnswersTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ShutdownAnswersTest.java
@@ -166,8 +166,10 @@
         try (Client client = new Client()) {
             client.sendQuery(requestSql("once", 20_000));
             terminate();
+            // By then the signal is known to the process.
+            sleepUntil(50);
             signal("STOP");
-            sleepUntil(400);
+            sleepUntil(450);
             signal("CONT");
             assertAllAnswered(List.of(client), 1);
         }
