Tests: a port that no outgoing connection takes, and the log of what never serves

Either another connection took the port between its reservation and the bind, or the start hung. A port below the range for outgoing connections rules out the first; for the second, the test prints the log and whether the process lives. Not reproduced here, so which of the two it was is open.

--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
@@ -10,6 +10,7 @@
 import java.io.EOFException;
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -23,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -126,6 +128,11 @@
         boolean respond(String query, DataOutputStream out) throws Exception;
     }
 
+    /** The lowest port at which a sidecar listens, and the port above the highest. */
+    private static final int MIN_PORT = 10_000;
+
+    private static final int MAX_PORT = 32_000;
+
     final List<Closeable> closeables = new ArrayList<>();
     final List<FakeServer> pods = new ArrayList<>();
     final List<String> discoveryLines = new CopyOnWriteArrayList<>();
@@ -407,12 +414,26 @@
         signal("HUP");
     }
 
+    /**
+     * Returns a port at which nobody listens, below those that the operating system gives to
+     * outgoing connections: one of these could take it before the sidecar listens there.
+     */
+    private static int findFreePort() throws IOException {
+        for (int i = 0; i < 100; i++) {
+            int candidate = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket probe =
+                    new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress())) {
+                return candidate;
+            } catch (BindException e) {
+                // Another one is tried.
+            }
+        }
+        throw new IOException("no free port found");
+    }
+
     /** Starts the sidecar and waits until it serves clients. */
     void startSidecar(int maxSockets) throws Exception {
-        try (ServerSocket portReservation =
-                new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = portReservation.getLocalPort();
-        }
+        port = findFreePort();
         Path file = writeConfig(maxSockets);
         // System properties may replace the class path, the JVM flags and the main class.
         List<String> command =
@@ -444,15 +465,21 @@
                         .start();
         Process started = process;
         Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
-        awaitTrue(
-                () -> {
-                    try (Client c = new Client()) {
-                        c.sendQuery("");
-                        return c.readMessage().equals("I");
-                    } catch (IOException e) {
-                        return false;
-                    }
-                });
+        try {
+            awaitTrue(this::isServing);
+        } catch (AssertionError e) {
+            throw new AssertionError(
+                    "not serving; alive: " + process.isAlive() + ", log: " + logText(), e);
+        }
+    }
+
+    private boolean isServing() {
+        try (Client c = new Client()) {
+            c.sendQuery("");
+            return c.readMessage().equals("I");
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     /**
