Execution history: the last places are for clients that stay

Callers that keep their connections were refused where others connect anew for each request: each of these counted as a new client, and took a place of the last quarter.

Now the last eighth is for clients that hold a place already, and less than an even share.

clientsThatStayAreServedBesideManyThatComeAndLeave failed before, passes now.

--- a/core/src/main/java/mulleinlever/ExecutionHistory.java
+++ b/core/src/main/java/mulleinlever/ExecutionHistory.java
@@ -25,6 +25,12 @@
     /** The share of the places that any client may take. */
     private static final double COMMON_SHARE = 0.75;
 
+    /**
+     * The share of the places up to which a client that holds none may take one. The rest is for
+     * clients that hold some: those that connect anew for each req never do.
+     */
+    private static final double NEW_CLIENT_SHARE = 0.875;
+
     /**
      * The place of a req.
      *
@@ -119,9 +125,10 @@
         int usedPlaces = openPlaceCount + executionsByIdHash.size();
         // One more than those that hold places, so that there is room for a new one.
         int evenShare = maxPlaces / (placeCountsByClient.size() + 1);
+        int heldPlaces = placeCountsByClient.getOrDefault(clientId, 0);
+        double shareForClient = heldPlaces == 0 ? NEW_CLIENT_SHARE : 1;
         return usedPlaces < COMMON_SHARE * maxPlaces
-                || usedPlaces < maxPlaces
-                        && placeCountsByClient.getOrDefault(clientId, 0) < evenShare;
+                || heldPlaces < evenShare && usedPlaces < shareForClient * maxPlaces;
     }
 
     /**
--- a/core/src/test/java/mulleinlever/ExecutionHistoryTest.java
+++ b/core/src/test/java/mulleinlever/ExecutionHistoryTest.java
@@ -147,6 +147,22 @@
         }
     }
 
+    // Clients that connect anew for each req counted as new ones each time, and took all places.
+    @Test
+    void clientsThatStayAreServedBesideManyThatComeAndLeave() {
+        PolicyHarness harness = withRoute(RetrySafety.NOT_RETRYABLE, DedupScope.ALL);
+        harness.policy.limitMemory(100 * ExecutionHistory.ENTRY_BYTES, 10);
+        sendReqOf(harness, 1, "first");
+        for (int i = 0; i < 200; i++) {
+            sendReqOf(harness, 2 + i, "left" + i);
+            harness.policy.onClientConnectionClosed(2 + i);
+        }
+        for (int i = 0; i < 10; i++) {
+            sendReqOf(harness, 1, "again" + i);
+            assertEquals("again" + i, harness.lastSent().reqId());
+        }
+    }
+
     private static void sendReqOf(PolicyHarness harness, long clientId, String reqId) {
         Req req = new Req(reqId, "put", false, true, TIMEOUT_NS, 0, -1, null, clientId);
         harness.policy.onReq(harness.nowNs, req);
