--- a/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/SidecarTestBase.java
@@ -133,6 +133,8 @@
 
     private static final int MAX_PORT = 32_000;
 
+    private static final int MAX_PORT_ATTEMPTS = 100;
+
     final List<Closeable> closeables = new ArrayList<>();
     final List<FakeServer> pods = new ArrayList<>();
     final List<String> discoveryLines = new CopyOnWriteArrayList<>();
@@ -419,10 +421,10 @@
      * outgoing connections: one of these could take it before the sidecar listens there.
      */
     private static int findFreePort() throws IOException {
-        for (int i = 0; i < 100; i++) {
+        for (int i = 0; i < MAX_PORT_ATTEMPTS; i++) {
             int candidate = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
-            try (ServerSocket probe =
-                    new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress())) {
+            try {
+                new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress()).close();
                 return candidate;
             } catch (BindException e) {
                 // Another one is tried.
