SipHash and the history without java.nio, which the core may not use

The rule is right and stays: bytes are put together by hand, and a text is hashed by its characters' two bytes each.

--- a/core/src/main/java/mulleinlever/ExecutionHistory.java
+++ b/core/src/main/java/mulleinlever/ExecutionHistory.java
@@ -1,6 +1,5 @@
 package mulleinlever;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -173,7 +172,7 @@
     }
 
     private long hash(String reqId) {
-        return idHash.hash(reqId.getBytes(StandardCharsets.UTF_8));
+        return idHash.hash(reqId);
     }
 
     /** Returns the number of reqs that are remembered. */
--- a/core/src/main/java/mulleinlever/SipHash.java
+++ b/core/src/main/java/mulleinlever/SipHash.java
@@ -1,7 +1,5 @@
 package mulleinlever;
 
-import java.nio.ByteBuffer;
-import java.nio.ByteOrder;
 import java.util.SplittableRandom;
 
 /**
@@ -74,16 +72,31 @@
     /** Returns the hash of the given bytes. */
     public long hash(byte[] bytes) {
         State state = new State(key0, key1);
-        ByteBuffer input = ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
-        while (input.remaining() >= BLOCK_BYTES) {
-            state.addBlock(input.getLong());
+        int lastBlockStart = bytes.length - bytes.length % BLOCK_BYTES;
+        for (int i = 0; i < lastBlockStart; i += BLOCK_BYTES) {
+            state.addBlock(littleEndian(bytes, i, BLOCK_BYTES));
         }
         // The last block holds the remaining bytes and, in its highest byte, the length.
-        long lastBlock = (long) bytes.length << Long.SIZE - Byte.SIZE;
-        for (int shift = 0; input.hasRemaining(); shift += Byte.SIZE) {
-            lastBlock |= (long) (input.get() & 0xff) << shift;
-        }
-        state.addBlock(lastBlock);
+        long length = (long) bytes.length << Long.SIZE - Byte.SIZE;
+        state.addBlock(length | littleEndian(bytes, lastBlockStart, bytes.length - lastBlockStart));
         return state.finish();
     }
+
+    /** Returns the hash of a text, by the two bytes of each of its characters. */
+    long hash(String text) {
+        byte[] bytes = new byte[Character.BYTES * text.length()];
+        for (int i = 0; i < text.length(); i++) {
+            bytes[Character.BYTES * i] = (byte) text.charAt(i);
+            bytes[Character.BYTES * i + 1] = (byte) (text.charAt(i) >>> Byte.SIZE);
+        }
+        return hash(bytes);
+    }
+
+    private static long littleEndian(byte[] bytes, int start, int count) {
+        long value = 0;
+        for (int i = 0; i < count; i++) {
+            value |= (bytes[start + i] & 0xffL) << Byte.SIZE * i;
+        }
+        return value;
+    }
 }
