Shutdown: fail incomplete messages, and answer more of what was pipelined

Callers: a message that was incomplete at the end got 57P03, which promises no effect; it may repeat an id that has run. And of 3,000 requests pipelined behind hung ones 2,464 were read and had no answer when the process ended.

Cause: the answer to incomplete messages looked at no id, since none is known; and the last 0.1 s are spent in the turns that a connection has to share, though nothing more is read by then.

Change: 57P01, an error. Once reading has stopped the share of a turn is not counted.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -283,6 +283,7 @@
 
     private boolean hasTimeInTurn() {
         return messagesInTurn == 0
+                || readingStopped
                 || clientConnections.inputBacklog.hasTime(clock.nowNs() - decodeStartNs);
     }
 
@@ -625,11 +626,12 @@
     }
 
     /**
-     * Answers a message that is not complete when the process ends: none of it has had an effect.
+     * Fails a message that is not complete when the process ends. It isn't refused, since an
+     * earlier one with its id may have run.
      */
     void answerIncompleteMessage() {
         if (!closing && hasUndecodedInput()) {
-            respondAndClose(PostgresMessages.CANNOT_CONNECT_NOW, "shutting down");
+            respondAndClose(PostgresMessages.ADMIN_SHUTDOWN, "shutting down");
         }
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessages.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessages.java
@@ -12,7 +12,7 @@
     // The SQLSTATEs of error responses.
     static final String TOO_MANY_CONNECTIONS = "53300";
 
-    static final String CANNOT_CONNECT_NOW = "57P03";
+    static final String ADMIN_SHUTDOWN = "57P01";
     static final String INTERNAL_ERROR = "XX000";
     static final String PROTOCOL_VIOLATION = "08P01";
     static final String SYNTAX_ERROR = "42601";
--- a/sidecar/src/test/java/mulleinlever/sidecar/ShutdownAnswersTest.java
+++ b/sidecar/src/test/java/mulleinlever/sidecar/ShutdownAnswersTest.java
@@ -1,6 +1,7 @@
 package mulleinlever.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -158,6 +159,43 @@
         completeAfterSigterm(List.of("once", "get", "put"), 2, 20_000, 480, 0);
     }
 
+    // What a client sends far ahead is held undecoded behind its requests in hand, and was dropped.
+    @Test
+    void manyRequestsBehindOthersAreAnswered() throws Exception {
+        start(3_000);
+        hungPodCount = POD_COUNT;
+        var bytes = new java.io.ByteArrayOutputStream();
+        for (int i = 0; i < 3_000; i++) {
+            bytes.write(queryMessage(requestSql("once", 20_000)));
+        }
+        try (Client client = new Client()) {
+            terminate();
+            sleepUntil(300);
+            client.socket.getOutputStream().write(bytes.toByteArray());
+            assertAllAnswered(List.of(client), 3_000);
+        }
+    }
+
+    // The second message began too late to time out before the end, and was closed unanswered. It
+    // may repeat an id that has run, so it must not be told that it had no effect.
+    @Test
+    void incompleteMessageFailsAtTheEnd() throws Exception {
+        start(3_000);
+        hungPodCount = POD_COUNT;
+        try (Client client = new Client()) {
+            terminate();
+            sleepUntil(400);
+            client.sendQuery(requestSql("once", 20_000));
+            sleepUntil(2_000);
+            byte[] second = queryMessage(requestSql("once", 1_000));
+            client.socket.getOutputStream().write(second, 0, 40);
+            assertEquals("EXX000", readAnswer(client));
+            String answer = readAnswer(client);
+            assertTrue(answer.startsWith("E"), answer);
+            assertFalse(answer.startsWith("E57P03") || answer.startsWith("E53300"), answer);
+        }
+    }
+
     // The shutdown counted from when the event loop got round to it, and ended after SIGKILL.
     @Test
     void shutdownEndsInTimeWhereTheProcessIsHeldUp() throws Exception {
