Tries wait until their client is known to be connected, not for one turn

Callers: after a hold-up of 0.15 s, requests of clients that had closed in it were sent to pods, where they were long or several.

Cause: the wait after a hold-up was the same for all: it ended with the first turn that read. A long request is complete only then, and its end lies behind it.

Change: ReadRounds tells up to when all that had arrived was read, UnreadInputMonitor when one client's connection was last known to be empty. ClientPresencePolicy lets a try begin up to 80 ms after that; else a request waits before it is decoded, and a try before it is written, for rounds of reading. Who is read without a pause for 50 ms is refused, as before. A connection accepted after accepting had paused counts from before the pause (by reading; no test shows it).

--- a/core/src/main/java/mulleinlever/PipelinePolicy.java
+++ b/core/src/main/java/mulleinlever/PipelinePolicy.java
@@ -17,12 +17,6 @@
     /** The part of that time that one connection may take. */
     private static final long SLICE_NS = 250_000L;
 
-    /**
-     * The time for which the end of a connection may go unseen. No try may begin later than 0.1 s
-     * after the end; the rest is for delays of the process.
-     */
-    private static final long MAX_UNSEEN_NS = 50_000_000L;
-
     private PipelinePolicy() {}
 
     /** Returns whether another command may be handled. */
@@ -39,13 +33,4 @@
     public static boolean hasTimeInSlice(long spentNs) {
         return spentNs < SLICE_NS;
     }
-
-    /**
-     * Returns whether a client may have left so long ago that no try for it may begin.
-     *
-     * @param unseenNs for how long the end of its connection may have gone unseen
-     */
-    public static boolean mayHaveLeft(long unseenNs) {
-        return unseenNs > MAX_UNSEEN_NS;
-    }
 }
--- a/lab/src/main/java/mulleinlever/lab/FleetLog.java
+++ b/lab/src/main/java/mulleinlever/lab/FleetLog.java
@@ -57,7 +57,8 @@
                     "pool_mb",
                     "req_mb",
                     "resp_mb",
-                    "loop_ms");
+                    "loop_ms",
+                    "unconfirmed_ms");
 
     private final TreeMap<Long, Map<String, Double>> valuesBySecond = new TreeMap<>();
     private final List<ReqLogLine> reqLines = new ArrayList<>();
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 import mulleinlever.ClientConnectionPolicy;
 import mulleinlever.ClientConnectionPolicy.State;
 import mulleinlever.PipelinePolicy;
@@ -27,15 +26,6 @@
     /** The size of the buffers for what is read ahead. */
     private static final int READ_AHEAD_READ_BYTES = 8 * 1024;
 
-    /**
-     * The time between the first two messages that show whether a client still reads. A reset by
-     * the client's machine arrives meanwhile.
-     */
-    private static final long FIRST_PROBE_INTERVAL_MS = 2;
-
-    /** The time between two such messages at which no more are written. */
-    private static final long MAX_PROBE_INTERVAL_MS = 1_000;
-
     /** The size of the message Terminate, which has no body. */
     private static final int TERMINATE_BYTES = 5;
 
@@ -60,6 +50,7 @@
     private ResponseQueue responses;
     private ReadAhead readAhead;
     private InputEndMonitor inputEnd;
+    private ClientPresence presence;
     private MessageReceiveBufferAllocator receiveBuffers;
     private boolean startupComplete;
     private boolean closing;
@@ -97,6 +88,12 @@
     /** The number of times that bytes were received. */
     private int readCount;
 
+    /** Whether the next message waits until it is known whether the client has left. */
+    private boolean presenceAwaited;
+
+    /** How long the next message has waited for that, in nanoseconds. */
+    private long presenceWaitedNs;
+
     /** Whether a call of {@link #checkAllRead} is due. */
     private boolean checkScheduled;
 
@@ -130,6 +127,7 @@
         receiveBuffers = new MessageReceiveBufferAllocator(this::nextReadBytes);
         channel.config().setRecvByteBufAllocator(receiveBuffers);
         inputEnd = new InputEndMonitor(clock);
+        presence = clientConnections.newPresence(channel, inputEnd);
         admission =
                 new RequestAdmission(
                         memory,
@@ -154,6 +152,8 @@
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
         lastProgressNs = clock.nowNs();
         readCount++;
+        clientConnections.rounds.onRead();
+        presence.input.onRead(lastProgressNs, ((ByteBuf) msg).readableBytes());
         if (closing) {
             ((ByteBuf) msg).release();
             return;
@@ -173,6 +173,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         messagesInTurn = 0;
+        presence.input.onReadComplete(receiveBuffers.wasAllRead());
         if (!receiveBuffers.wasAllRead()) {
             inputEnd.moreUnread();
         }
@@ -206,13 +207,9 @@
         }
     }
 
-    /** Returns whether the client may have left so long ago that no try for it may begin. */
-    boolean mayHaveLeft() {
-        boolean left = inputEnd.mayHaveLeft();
-        if (left) {
-            metrics.increment(SidecarMetrics.Event.MAY_HAVE_LEFT);
-        }
-        return left;
+    /** Returns what is known of whether the client has left. */
+    ClientPresence presence() {
+        return presence;
     }
 
     /** Handles the message that has waited for memory, unless its client has left meanwhile. */
@@ -300,12 +297,14 @@
         }
         channel.config().setAutoRead(reading);
         if (reading) {
+            presence.input.resume(clock.nowNs());
             inputEnd.moreUnread();
             scheduleCheckAllRead();
             return;
         }
         metrics.increment(SidecarMetrics.Event.READ_PAUSED);
         if (channel.isWritable()) {
+            presence.input.pause();
             inputEnd.moreUnread();
         } else {
             // The end of a client that takes no responses is found by writing.
@@ -335,6 +334,9 @@
                 if (decoder.isDiscarding()) {
                     continue;
                 }
+                if (awaitsPresence()) {
+                    return false;
+                }
                 if (decoder.readMessage()) {
                     messagesInTurn++;
                     return true;
@@ -347,6 +349,28 @@
         return false;
     }
 
+    /**
+     * Returns whether the next message has to wait until it is known whether the client has left,
+     * so that a req of one that has left takes up no try.
+     */
+    private boolean awaitsPresence() {
+        if (decoder.messageType != 'Q'
+                || !startupComplete
+                || !decoder.isMessageComplete()
+                || !presence.mustWait()) {
+            return false;
+        }
+        presenceAwaited = true;
+        long startNs = clock.nowNs();
+        presence.awaitDecision(
+                () -> {
+                    presenceAwaited = false;
+                    presenceWaitedNs = clock.nowNs() - startNs;
+                    scheduleDecode();
+                });
+        return true;
+    }
+
     /**
      * Decides on the next message, whose header has been read: it is shed if the client has sent
      * too much ahead, and needs memory otherwise. Returns false if it waits for memory.
@@ -427,7 +451,9 @@
 
     /** Returns whether another message may be handled. */
     private boolean mayHandle() {
-        return PipelinePolicy.mayHandle(responses.size()) && channel.isWritable();
+        return PipelinePolicy.mayHandle(responses.size())
+                && channel.isWritable()
+                && !presenceAwaited;
     }
 
     /** Returns whether received bytes may be decoded: to handle a message, or to shed one. */
@@ -491,7 +517,8 @@
                         this,
                         new ReservedBuffer(channel.alloc(), memory.requests())
                                 .append(decoder.retainBody(), admission.takeReservation()),
-                        admission.waitedNs());
+                        admission.waitedNs() + presenceWaitedNs);
+                presenceWaitedNs = 0;
             }
             case 'X' -> {
                 endInput();
@@ -651,8 +678,7 @@
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
             if (closing || endsWithTerminate()) {
-                inputEnd.ended();
-                probeReader(FIRST_PROBE_INTERVAL_MS);
+                presence.inputEnded();
             } else {
                 channel.close();
             }
@@ -669,26 +695,12 @@
         return newest.getByte(start) == 'X' && newest.getInt(start + 1) == TERMINATE_BYTES - 1;
     }
 
-    /**
-     * Finds out whether a client that has ended its sending still reads. If it has left, the second
-     * message that is written to it fails, which closes the channel.
-     *
-     * @param nextIntervalMs the time until the next message is written, which doubles each time
-     */
-    private void probeReader(long nextIntervalMs) {
-        if (channel.isActive() && nextIntervalMs < MAX_PROBE_INTERVAL_MS) {
-            channel.writeAndFlush(PostgresMessages.unchangedParameter());
-            channel.eventLoop()
-                    .schedule(
-                            () -> probeReader(2 * nextIntervalMs),
-                            nextIntervalMs,
-                            TimeUnit.MILLISECONDS);
-        }
-    }
-
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (channel.isWritable()) {
+            if (!channel.config().isAutoRead()) {
+                presence.input.pause();
+            }
             scheduleDecode();
         }
     }
@@ -697,7 +709,8 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
         if (!responses.isEmpty()) {
-            metrics.recordClientLeft(responses.size(), decoder.unreadBytes(), inputEnd.unseenNs());
+            metrics.recordClientLeft(
+                    responses.size(), decoder.unreadBytes(), presence.unconfirmedNs());
         }
         clientConnections.connectionClosed(this);
         abandonMessage();
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -32,6 +32,17 @@
     private final int maxConnections;
     private final Lifecycle lifecycle;
     private final NettyTransport transport;
+    final ReadRounds rounds;
+
+    /** The connections that wait to be accepted. */
+    private final UnreadInputMonitor unaccepted;
+
+    /** When accepting was last paused. */
+    private long acceptPausedNs;
+
+    /** Whether connections that arrived while accepting was paused may wait. */
+    private boolean acceptBacklogged;
+
     private final Clock clock;
     private final SidecarMetrics metrics;
     private final MessageMemory memory;
@@ -53,12 +64,15 @@
             int maxConnections,
             Lifecycle lifecycle,
             NettyTransport transport,
+            ReadRounds rounds,
             Clock clock,
             SidecarMetrics metrics,
             MessageMemory memory) {
         this.maxConnections = maxConnections;
         this.lifecycle = lifecycle;
         this.transport = transport;
+        this.rounds = rounds;
+        this.unaccepted = new UnreadInputMonitor(rounds, clock.nowNs(), clock.nowNs());
         this.clock = clock;
         this.metrics = metrics;
         this.memory = memory;
@@ -78,6 +92,14 @@
                 listener, Math.max(1, Math.min(MAX_ACCEPTS_PER_TURN, room)));
     }
 
+    /** Creates the presence of a client whose connection is being accepted. */
+    ClientPresence newPresence(Channel channel, InputEndMonitor inputEnd) {
+        long noneWaitedAtNs = unaccepted.emptyAtNs();
+        acceptBacklogged &= noneWaitedAtNs <= acceptPausedNs;
+        long connectedAtNs = acceptBacklogged ? noneWaitedAtNs : rounds.lastTurnEndNs();
+        return new ClientPresence(channel, rounds, inputEnd, clock, metrics, connectedAtNs);
+    }
+
     /** Runs a task after the event loop has read from all connections again. */
     void runAfterNextReads(Runnable task) {
         transport.runAfterNextReads(task);
@@ -99,9 +121,13 @@
      */
     void connectionOpened(ClientConnection opened) {
         connections.add(opened);
+        unaccepted.onRead(clock.nowNs(), 1);
         updateAcceptsPerTurn();
         if (connections.size() >= maxConnections) {
             listener.config().setAutoRead(false);
+            unaccepted.pause();
+            acceptPausedNs = clock.nowNs();
+            acceptBacklogged = true;
             metrics.increment(SidecarMetrics.Event.ACCEPT_PAUSED);
             // In a later turn of the event loop, when all bytes that have arrived are read.
             transport.execute(this::evictForNewConnections);
@@ -144,6 +170,7 @@
         if (connections.size() < maxConnections && !listener.config().isAutoRead()) {
             cancelAcceptRetry();
             listener.config().setAutoRead(true);
+            unaccepted.resume(clock.nowNs());
         }
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/InputEndMonitor.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/InputEndMonitor.java
@@ -1,7 +1,5 @@
 package mulleinlever.sidecar;
 
-import mulleinlever.PipelinePolicy;
-
 /**
  * Tells for how long the end of one client's connection may have gone unseen: it is found only once
  * all that was sent before has been read. Called by the event loop only.
@@ -12,9 +10,6 @@
 
     private final Clock clock;
 
-    /** When the client ended its sending; {@link #ALL_READ} while it hasn't. */
-    private long endedNs = ALL_READ;
-
     /** Since when more may have arrived than was read. */
     private long unreadSinceNs = ALL_READ;
 
@@ -34,11 +29,6 @@
         }
     }
 
-    /** Records that the client has ended its sending; it may have left or still read. */
-    void ended() {
-        endedNs = clock.nowNs();
-    }
-
     boolean isAllRead() {
         return unreadSinceNs == ALL_READ;
     }
@@ -47,11 +37,4 @@
     long unseenNs() {
         return isAllRead() ? 0 : clock.nowNs() - unreadSinceNs;
     }
-
-    /** Returns whether the client may have left so long ago that no try for it may begin. */
-    boolean mayHaveLeft() {
-        boolean endedBefore =
-                endedNs != ALL_READ && PipelinePolicy.mayHaveLeft(clock.nowNs() - endedNs);
-        return endedBefore || !isAllRead() && PipelinePolicy.mayHaveLeft(unseenNs());
-    }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/PodConnectionPool.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PodConnectionPool.java
@@ -170,15 +170,20 @@
      */
     void awaitCooldown(UpstreamTry upstreamTry, PodConnection connection, long delayNs) {
         metrics.increment(SidecarMetrics.Event.RESTED);
-        delayWrite(upstreamTry, connection, delayNs);
+        addPending(upstreamTry, connection);
+        transport.schedule(delayNs, () -> connection.writeAfterDelay(upstreamTry));
+    }
+
+    /** Lets a try wait until its client is known to be connected, as for the end of a cooldown. */
+    void awaitClient(UpstreamTry upstreamTry, PodConnection connection, ClientPresence client) {
+        addPending(upstreamTry, connection);
+        client.awaitDecision(() -> connection.writeAfterDelay(upstreamTry));
     }
 
-    /** Lets a connection write the req of a try after a delay, unless either has ended by then. */
-    void delayWrite(UpstreamTry upstreamTry, PodConnection connection, long delayNs) {
+    private void addPending(UpstreamTry upstreamTry, PodConnection connection) {
         upstreamTry.connection = connection;
         connection.setWaitingTry(upstreamTry);
         endpointsByPodId.get(connection.podId).pendingConnections.add(connection);
-        transport.schedule(delayNs, () -> connection.writeAfterDelay(upstreamTry));
     }
 
     /** Adds a connection to the idle ones, or closes it if the pod's address has changed. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/PostgresMessageDecoder.java
@@ -123,12 +123,17 @@
         return currentMessageBytes;
     }
 
+    /** Returns whether the next message, whose header has been read, was received completely. */
+    boolean isMessageComplete() {
+        return unreadBytes() >= currentMessageBytes;
+    }
+
     /**
      * Advances to the next message, whose header has been read. Returns false if it hasn't been
      * received completely.
      */
     boolean readMessage() {
-        if (unreadBytes() < currentMessageBytes) {
+        if (!isMessageComplete()) {
             return false;
         }
         bodyIndex = buffer.readerIndex() + headerBytes;
--- a/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/QueryHandler.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import mulleinlever.ClientPresencePolicy.Decision;
 import mulleinlever.Req;
 import mulleinlever.Settings;
 import mulleinlever.SipHash;
@@ -151,7 +152,7 @@
                         statement.tenant,
                         command.client.id());
         boolean tooLate = remainingNs > 0 && timeNs == 0;
-        if (command.client.mayHaveLeft() || tooLate) {
+        if (tooLate || command.client.presence().decide() == Decision.REFUSE) {
             policyActions.rejectReq(req);
         } else {
             policyActions.submitReq(req);
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarComponents.java
@@ -27,6 +27,7 @@
     private final PodConnectionPool connectionPool;
     private final MessageMemory memory;
     private final NettyTransport transport;
+    private final ReadRounds rounds;
     private final QueryHandler queryHandler;
     private final Clock clock;
     private final RateLimitedLog log;
@@ -50,16 +51,19 @@
                                 Runtime.getRuntime().maxMemory(),
                                 config.maxMemoryBytes(),
                                 settings));
+        rounds = new ReadRounds(transport, clock);
         clientConnections =
                 new ClientConnections(
                         (int) (CLIENT_SOCKET_SHARE * config.maxSockets()),
                         lifecycle,
                         transport,
+                        rounds,
                         clock,
                         metrics,
                         memory);
         reqRegistry = new ReqRegistry(transport, clock, metrics);
-        eventLoopMonitor = new EventLoopMonitor(transport, clock, metrics, reqRegistry, log);
+        eventLoopMonitor =
+                new EventLoopMonitor(transport, clock, metrics, reqRegistry, rounds, log);
         connectionPool =
                 new PodConnectionPool(
                         transport,
@@ -79,8 +83,7 @@
                         transport,
                         clock,
                         reqRegistry,
-                        new TryDispatcher(
-                                transport, clock, eventLoopMonitor, reqRegistry, connectionPool),
+                        new TryDispatcher(transport, clock, metrics, reqRegistry, connectionPool),
                         discoveryClient,
                         releasePlatformClient,
                         log);
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
@@ -57,6 +57,8 @@
         READ_PAUSED,
         /** A try was not begun because the client may have left unseen. */
         MAY_HAVE_LEFT,
+        /** A req or a try waited until its client was known to be connected. */
+        PRESENCE_AWAITED,
         /**
          * A client sent more messages than its connection handles in one turn of the event loop.
          */
@@ -100,6 +102,12 @@
     /** The longest delay of the event loop since the last line, in nanoseconds. */
     private long maxLoopDelayNs;
 
+    /**
+     * The longest time since its client was last known to be connected at which a try was written
+     * since the last line, in nanoseconds.
+     */
+    private long maxUnconfirmedNs;
+
     SidecarMetrics(Clock clock, RateLimitedLog log) {
         this.clock = clock;
         this.log = log;
@@ -141,9 +149,9 @@
      * Records that a client has ended its connection while commands of it were in hand. The first
      * ones of each second are logged.
      *
-     * @param unreadNs for how long its connection had not been read when the end was seen
+     * @param unconfirmedNs the time since it was last known to be connected
      */
-    void recordClientLeft(int commandCount, int undecodedBytes, long unreadNs) {
+    void recordClientLeft(int commandCount, int undecodedBytes, long unconfirmedNs) {
         increment(Event.CLIENT_LEFT);
         if (++clientLeftCount <= MAX_LOGGED_CLIENTS_PER_SECOND) {
             log.info(
@@ -152,9 +160,9 @@
                             + commandCount
                             + " commands in hand, "
                             + undecodedBytes
-                            + " bytes undecoded, not read for "
-                            + unreadNs / 1_000_000
-                            + " ms");
+                            + " bytes undecoded, last known to be connected "
+                            + unconfirmedNs / 1_000_000
+                            + " ms before");
         }
     }
 
@@ -163,6 +171,15 @@
         maxLoopDelayNs = Math.max(maxLoopDelayNs, delayNs);
     }
 
+    /**
+     * Records that a try was written.
+     *
+     * @param unconfirmedNs the time since its client was last known to be connected
+     */
+    void recordWrite(long unconfirmedNs) {
+        maxUnconfirmedNs = Math.max(maxUnconfirmedNs, unconfirmedNs);
+    }
+
     /** Returns the log line of a req; times are in milliseconds since its receipt. */
     private static String describeReq(PendingCommand command, Event event, long tookNs) {
         StringBuilder description =
@@ -211,6 +228,8 @@
         clientLeftCount = 0;
         long loopDelayNs = maxLoopDelayNs;
         maxLoopDelayNs = 0;
+        long unconfirmedNs = maxUnconfirmedNs;
+        maxUnconfirmedNs = 0;
         if (line.length() > 0) {
             log.info(
                     "count",
@@ -219,7 +238,8 @@
                                             Locale.ROOT,
                                             "clients=%d links=%d room=%.1f open=%d first=%d "
                                                     + "further=%d ease=%.2f ready=%d usable=%d fit=%d cold=%d dark=%d remembered=%d no_place=%d list_age=%.1f "
-                                                    + "pool_mb=%.1f req_mb=%.1f resp_mb=%.1f loop_ms=%.1f",
+                                                    + "pool_mb=%.1f req_mb=%.1f resp_mb=%.1f loop_ms=%.1f "
+                                                    + "unconfirmed_ms=%.1f",
                                             clientConnectionCount,
                                             podConnectionCount,
                                             stats.tryLimit(),
@@ -238,7 +258,8 @@
                                             memory.poolBytes() / BYTES_PER_MB,
                                             memory.requestBytes() / BYTES_PER_MB,
                                             memory.responseBytes() / BYTES_PER_MB,
-                                            loopDelayNs / 1e6))
+                                            loopDelayNs / 1e6,
+                                            unconfirmedNs / 1e6))
                             .toString());
         }
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/TryDispatcher.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/TryDispatcher.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import mulleinlever.ClientPresencePolicy.Decision;
 import mulleinlever.TryOutcome;
 
 /**
@@ -17,27 +18,21 @@
      */
     private static final int HEADER_BYTES = 5;
 
-    /**
-     * How long a req isn't written after the event loop was held up. Meanwhile the ends of clients'
-     * connections are read.
-     */
-    private static final long HELD_UP_WRITE_DELAY_NS = 1_000_000L;
-
     private final NettyTransport transport;
     private final Clock clock;
-    private final EventLoopMonitor eventLoopMonitor;
+    private final SidecarMetrics metrics;
     private final ReqRegistry reqRegistry;
     private final PodConnectionPool connectionPool;
 
     TryDispatcher(
             NettyTransport transport,
             Clock clock,
-            EventLoopMonitor eventLoopMonitor,
+            SidecarMetrics metrics,
             ReqRegistry reqRegistry,
             PodConnectionPool connectionPool) {
         this.transport = transport;
         this.clock = clock;
-        this.eventLoopMonitor = eventLoopMonitor;
+        this.metrics = metrics;
         this.reqRegistry = reqRegistry;
         this.connectionPool = connectionPool;
     }
@@ -60,7 +55,9 @@
                         nowNs + writeWithinNs,
                         nowNs + timeoutNs);
         command.tries.add(upstreamTry);
-        if (command.outcomeDecided || timeoutNs <= 0 || command.client.mayHaveLeft()) {
+        if (command.outcomeDecided
+                || timeoutNs <= 0
+                || command.client.presence().decide() == Decision.REFUSE) {
             transport.execute(() -> reqRegistry.onTryEnded(upstreamTry, TryOutcome.MOOT, null));
             return;
         }
@@ -116,14 +113,17 @@
     }
 
     /**
-     * Writes the req of a try to a connection, or ends the try as {@link TryOutcome#CONNECT_FAILED}
-     * once its write deadline has passed, or as {@link TryOutcome#MOOT} if its client may have
-     * left. The client's text is forwarded as received, except that the value of the client's
-     * timeout, where there is one, becomes the time in milliseconds that remains until the try's
-     * deadline; the parts before and after that value are not copied.
+     * Writes the req of a try to a connection once its client is known to be connected, or ends the
+     * try as {@link TryOutcome#CONNECT_FAILED} once its write deadline has passed, or as {@link
+     * TryOutcome#MOOT} if its client may have left. The client's text is forwarded as received,
+     * except that the value of the client's timeout, where there is one, becomes the time in
+     * milliseconds that remains until the try's deadline; the parts before and after that value are
+     * not copied.
      */
     void writeReq(UpstreamTry upstreamTry, PodConnection connection) {
-        boolean moot = upstreamTry.command.client.mayHaveLeft();
+        ClientPresence client = upstreamTry.command.client.presence();
+        Decision decision = client.decide();
+        boolean moot = decision == Decision.REFUSE;
         if (moot || clock.nowNs() > upstreamTry.writeDeadlineNs) {
             TryOutcome outcome = moot ? TryOutcome.MOOT : TryOutcome.CONNECT_FAILED;
             upstreamTry.connection = null;
@@ -131,10 +131,11 @@
             transport.execute(() -> reqRegistry.onTryEnded(upstreamTry, outcome, null));
             return;
         }
-        if (eventLoopMonitor.isHeldUp()) {
-            connectionPool.delayWrite(upstreamTry, connection, HELD_UP_WRITE_DELAY_NS);
+        if (decision == Decision.WAIT) {
+            connectionPool.awaitClient(upstreamTry, connection, client);
             return;
         }
+        metrics.recordWrite(client.unconfirmedNs());
         upstreamTry.connection = connection;
         connection.setActiveTry(upstreamTry);
         Channel channel = connection.channel();
