Time in which the process is held up refuses nobody

Callers: clients that stayed were refused (53300) when several short hold-ups followed each other while they sent.

Cause: a client is refused once more may have arrived from it than was read for 50 ms, and a hold-up of 60 ms counted as such a time, though nothing could be read in it.

Change: the time is counted in time for which the loop ran (ReadRounds.runningNs): of a turn of over 30 ms 5 ms count.

--- a/core/src/main/java/mulleinlever/ClientPresencePolicy.java
+++ b/core/src/main/java/mulleinlever/ClientPresencePolicy.java
@@ -22,7 +22,7 @@
 
     /**
      * The time for which more may have arrived from a client than was read before its reqs are
-     * refused.
+     * refused. Time in which the process was held up is not counted.
      */
     private static final long MAX_BEHIND_NS = 50 * MILLISECOND_NS;
 
@@ -48,7 +48,7 @@
      *
      * @param unconfirmedNs the time since the client was last known to be connected, in nanoseconds
      * @param behindNs for how long more may have arrived from the client than was read, in
-     *     nanoseconds
+     *     nanoseconds in which the process ran
      */
     public static Decision decide(long unconfirmedNs, long behindNs) {
         if (unconfirmedNs <= KNOWN_FOR_NS) {
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnection.java
@@ -126,7 +126,7 @@
         decoder = new PostgresMessageDecoder(ctx.alloc());
         receiveBuffers = new MessageReceiveBufferAllocator(this::nextReadBytes);
         channel.config().setRecvByteBufAllocator(receiveBuffers);
-        inputEnd = new InputEndMonitor(clock);
+        inputEnd = new InputEndMonitor(clock, clientConnections.rounds);
         presence = clientConnections.newPresence(channel, inputEnd);
         admission =
                 new RequestAdmission(
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientPresence.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientPresence.java
@@ -21,6 +21,7 @@
     /** What waits for a decision; empty while there is no check. */
     private List<Runnable> waiting = new ArrayList<>();
 
+    /** When the wait began, in time for which the process ran. */
     private long waitingSinceNs;
 
     /** The number of rounds of reading since the wait began. */
@@ -78,11 +79,11 @@
         if (hasLeft()) {
             return Decision.REFUSE;
         }
-        long waitedNs = waiting.isEmpty() ? 0 : clock.nowNs() - waitingSinceNs;
+        long waitedNs = waiting.isEmpty() ? 0 : rounds.runningNs() - waitingSinceNs;
         if (input.hasEnded()) {
             return ClientPresencePolicy.decideAfterEnd(clock.nowNs() - endedNs);
         }
-        long behindNs = Math.max(inputEnd.unseenNs(), waitedNs);
+        long behindNs = Math.max(inputEnd.unseenRunningNs(), waitedNs);
         return ClientPresencePolicy.decide(unconfirmedNs(), behindNs);
     }
 
@@ -97,7 +98,7 @@
         waiting.add(onDecided);
         if (waiting.size() == 1) {
             roundCount = 0;
-            waitingSinceNs = clock.nowNs();
+            waitingSinceNs = rounds.runningNs();
             check();
         }
     }
--- a/sidecar/src/main/java/mulleinlever/sidecar/InputEndMonitor.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/InputEndMonitor.java
@@ -9,12 +9,17 @@
     private static final long ALL_READ = Long.MIN_VALUE;
 
     private final Clock clock;
+    private final ReadRounds rounds;
 
     /** Since when more may have arrived than was read. */
     private long unreadSinceNs = ALL_READ;
 
-    InputEndMonitor(Clock clock) {
+    /** The same in time for which the process ran. */
+    private long unreadSinceRunningNs;
+
+    InputEndMonitor(Clock clock, ReadRounds rounds) {
         this.clock = clock;
+        this.rounds = rounds;
     }
 
     /** Records that all that had arrived was read, and the end was not found. */
@@ -26,6 +31,7 @@
     void moreUnread() {
         if (unreadSinceNs == ALL_READ) {
             unreadSinceNs = clock.nowNs();
+            unreadSinceRunningNs = rounds.runningNs();
         }
     }
 
@@ -37,4 +43,9 @@
     long unseenNs() {
         return isAllRead() ? 0 : clock.nowNs() - unreadSinceNs;
     }
+
+    /** Returns for how long the process ran while the end may have gone unseen, in nanoseconds. */
+    long unseenRunningNs() {
+        return isAllRead() ? 0 : rounds.runningNs() - unreadSinceRunningNs;
+    }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/ReadRounds.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ReadRounds.java
@@ -7,6 +7,12 @@
  * by the event loop only.
  */
 final class ReadRounds {
+    /** The time between two turns above which the process counts as held up. */
+    private static final long MAX_TURN_NS = 30_000_000L;
+
+    /** What counts of such a time. */
+    private static final long HELD_UP_TURN_NS = 5_000_000L;
+
     private final NettyTransport transport;
     private final Clock clock;
 
@@ -18,11 +24,17 @@
 
     private boolean turnEndScheduled;
 
+    /** The time for which the process ran until {@link #runningCountedNs}. */
+    private long runningNs;
+
+    private long runningCountedNs;
+
     ReadRounds(NettyTransport transport, Clock clock) {
         this.transport = transport;
         this.clock = clock;
         this.completeSinceNs = clock.nowNs();
         this.lastTurnEndNs = completeSinceNs;
+        this.runningCountedNs = completeSinceNs;
     }
 
     /** Returns the start of the latest complete round, in nanoseconds. */
@@ -35,6 +47,12 @@
         return lastTurnEndNs;
     }
 
+    /** Returns for how long the process ran, without the times in which it was held up. */
+    long runningNs() {
+        long turnNs = clock.nowNs() - runningCountedNs;
+        return runningNs + (turnNs > MAX_TURN_NS ? HELD_UP_TURN_NS : turnNs);
+    }
+
     /**
      * Counts the time from the end of an earlier turn to that of this one as a round. To be called
      * while the event loop reads, so that no turn ends twice.
@@ -54,6 +72,8 @@
 
     private void completeRound(long startNs) {
         completeSinceNs = Math.max(completeSinceNs, startNs);
+        runningNs = runningNs();
+        runningCountedNs = clock.nowNs();
     }
 
     /**
