After Terminate a try waits until it is known whether the client still reads

Callers: a client sends a request, says Terminate and closes, as the protocol asks, while the process is held up: its request was sent on. And one that only ended its sending and read on got no further attempt: it was refused (53300).

Cause: after Terminate the end of the connection counted as the end of the sending alone. For 50 ms from then on tries began, until the second message written to the client had failed, 2 ms later; after 50 ms none began, whether it had left or not.

Change: ClientProbe tells when the client was last known to be connected: a message that has drawn no reset in 2 ms shows it. A try that needs to know waits for two.

--- a/core/src/main/java/mulleinlever/ClientPresencePolicy.java
+++ b/core/src/main/java/mulleinlever/ClientPresencePolicy.java
@@ -57,15 +57,6 @@
         return behindNs <= MAX_BEHIND_NS ? Decision.WAIT : Decision.REFUSE;
     }
 
-    /**
-     * Decides on a try for a client that has ended its sending, and may still read.
-     *
-     * @param endedForNs the time since the end was seen, in nanoseconds
-     */
-    public static Decision decideAfterEnd(long endedForNs) {
-        return endedForNs <= MAX_BEHIND_NS ? Decision.BEGIN : Decision.REFUSE;
-    }
-
     /**
      * Returns whether bytes that arrive after all earlier ones were read show that the client was
      * connected when these were read.
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientPresence.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientPresence.java
@@ -27,9 +27,6 @@
     /** The number of rounds of reading since the wait began. */
     private int roundCount;
 
-    /** When the client ended its sending, if it has. */
-    private long endedNs;
-
     /** What has been received of the client's connection. */
     final UnreadInputMonitor input;
 
@@ -49,12 +46,12 @@
         this.clock = clock;
         this.metrics = metrics;
         this.input = new UnreadInputMonitor(rounds, connectedAtNs, clock.nowNs());
-        this.probe = new ClientProbe(channel);
+        this.probe = new ClientProbe(channel, clock, connectedAtNs);
     }
 
     /** Returns the time since the client was last known to be connected, in nanoseconds. */
     long unconfirmedNs() {
-        return clock.nowNs() - input.emptyAtNs();
+        return clock.nowNs() - Math.max(input.emptyAtNs(), probe.connectedAtNs());
     }
 
     private boolean hasLeft() {
@@ -80,10 +77,7 @@
             return Decision.REFUSE;
         }
         long waitedNs = waiting.isEmpty() ? 0 : rounds.runningNs() - waitingSinceNs;
-        if (input.hasEnded()) {
-            return ClientPresencePolicy.decideAfterEnd(clock.nowNs() - endedNs);
-        }
-        long behindNs = Math.max(inputEnd.unseenRunningNs(), waitedNs);
+        long behindNs = input.hasEnded() ? 0 : Math.max(inputEnd.unseenRunningNs(), waitedNs);
         return ClientPresencePolicy.decide(unconfirmedNs(), behindNs);
     }
 
@@ -104,9 +98,14 @@
     }
 
     private void check() {
-        long delayNs = ClientPresencePolicy.roundDelayNs(roundCount);
-        roundCount++;
-        rounds.startRound(delayNs, this::onChecked);
+        if (input.hasEnded()) {
+            metrics.increment(SidecarMetrics.Event.PRESENCE_PROBED);
+            probe.run(this::onChecked);
+        } else {
+            long delayNs = ClientPresencePolicy.roundDelayNs(roundCount);
+            roundCount++;
+            rounds.startRound(delayNs, this::onChecked);
+        }
     }
 
     private void onChecked() {
@@ -129,7 +128,6 @@
      */
     void inputEnded() {
         input.end();
-        endedNs = clock.nowNs();
         probe.startSeries();
     }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientProbe.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientProbe.java
@@ -1,6 +1,7 @@
 package mulleinlever.sidecar;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -12,13 +13,33 @@
     /** The time between two messages in which a reset by the client's machine arrives. */
     private static final long MIN_INTERVAL_MS = 2;
 
+    private static final long MIN_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(MIN_INTERVAL_MS);
+
     /** The time between two messages of a series at which it ends. */
     private static final long MAX_INTERVAL_MS = 1_000;
 
     private final Channel channel;
+    private final Clock clock;
+
+    /** Null until the first message is written. */
+    private ChannelFuture lastMessage;
+
+    /** When a message was written that has drawn no reset so far, in nanoseconds. */
+    private long awaitingResetSinceNs;
+
+    /** When the client is last known to have been connected, in nanoseconds. */
+    private long connectedAtNs;
 
-    ClientProbe(Channel channel) {
+    ClientProbe(Channel channel, Clock clock, long connectedAtNs) {
         this.channel = channel;
+        this.clock = clock;
+        this.connectedAtNs = connectedAtNs;
+        this.awaitingResetSinceNs = connectedAtNs;
+    }
+
+    /** Returns when the client is last known to have been connected, in nanoseconds. */
+    long connectedAtNs() {
+        return connectedAtNs;
     }
 
     /** Writes messages at growing intervals, so that the channel closes if the client has left. */
@@ -28,12 +49,42 @@
 
     private void continueSeries(long intervalMs) {
         if (channel.isActive() && intervalMs < MAX_INTERVAL_MS) {
-            channel.writeAndFlush(PostgresMessages.unchangedParameter());
-            channel.eventLoop()
-                    .schedule(
-                            () -> continueSeries(2 * intervalMs),
-                            intervalMs,
-                            TimeUnit.MILLISECONDS);
+            writeMessage();
+            schedule(intervalMs, () -> continueSeries(2 * intervalMs));
+        }
+    }
+
+    /**
+     * Writes two messages, as far as the network takes them.
+     *
+     * @param onWritten called after the second one
+     */
+    void run(Runnable onWritten) {
+        writeMessage();
+        schedule(
+                MIN_INTERVAL_MS,
+                () -> {
+                    writeMessage();
+                    onWritten.run();
+                });
+    }
+
+    private void schedule(long delayMs, Runnable task) {
+        channel.eventLoop().schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Writes a message, unless the network has not taken the last one. In that case the channel
+     * waits for room, by which a reset is found as well.
+     */
+    private void writeMessage() {
+        long nowNs = clock.nowNs();
+        if (lastMessage == null || lastMessage.isDone()) {
+            lastMessage = channel.writeAndFlush(PostgresMessages.unchangedParameter());
+        }
+        if (channel.isActive() && nowNs - awaitingResetSinceNs >= MIN_INTERVAL_NS) {
+            connectedAtNs = awaitingResetSinceNs;
+            awaitingResetSinceNs = nowNs;
         }
     }
 }
--- a/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/SidecarMetrics.java
@@ -59,6 +59,8 @@
         MAY_HAVE_LEFT,
         /** A req or a try waited until its client was known to be connected. */
         PRESENCE_AWAITED,
+        /** A client was written to, to find out whether it is connected. */
+        PRESENCE_PROBED,
         /**
          * A client sent more messages than its connection handles in one turn of the event loop.
          */
