A connection accepted by an idle loop counts from the latest round

Callers: on a loop that had been idle, the first requests of a new connection waited though it had just been accepted; of a client that sent much at once, beside clients that held the memory, they were refused (53300).

Cause: a connection counted as known to be open since the last turn that read from a client, which on an idle loop may be long ago. The rounds of the check every 50 ms were left out.

Change: the later of both times counts.

--- a/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ClientConnections.java
@@ -96,7 +96,7 @@
     ClientPresence newPresence(Channel channel, InputEndMonitor inputEnd) {
         long noneWaitedAtNs = unaccepted.emptyAtNs();
         acceptBacklogged &= noneWaitedAtNs <= acceptPausedNs;
-        long connectedAtNs = acceptBacklogged ? noneWaitedAtNs : rounds.lastTurnEndNs();
+        long connectedAtNs = acceptBacklogged ? noneWaitedAtNs : rounds.turnStartNs();
         return new ClientPresence(channel, rounds, inputEnd, clock, metrics, connectedAtNs);
     }
 
--- a/sidecar/src/main/java/mulleinlever/sidecar/ReadRounds.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/ReadRounds.java
@@ -42,9 +42,9 @@
         return completeSinceNs;
     }
 
-    /** Returns a time before the event loop began to read in this turn, in nanoseconds. */
-    long lastTurnEndNs() {
-        return lastTurnEndNs;
+    /** Returns a time just before the event loop began to read in this turn, in nanoseconds. */
+    long turnStartNs() {
+        return Math.max(completeSinceNs, lastTurnEndNs);
     }
 
     /** Returns for how long the process ran, without the times in which it was held up. */
--- a/sidecar/src/main/java/mulleinlever/sidecar/UnreadInputMonitor.java
+++ b/sidecar/src/main/java/mulleinlever/sidecar/UnreadInputMonitor.java
@@ -66,7 +66,7 @@
      */
     void onReadComplete(boolean allRead) {
         drained = allRead;
-        drainedAtNs = rounds.lastTurnEndNs();
+        drainedAtNs = rounds.turnStartNs();
     }
 
     /** Records that reading pauses. */
